scheduler, front: a silent stream is cut only where it may go on elsewhere

Cause: a run whose endpoint was silent was cut first and the further send asked for afterwards. Change: the cut needs another usable endpoint that the request was not sent to, and the further send is taken out of the budget before the cut. Ruled out: asking the budget in the request's goroutine after a cut (the connection is gone by then); waiting for a free slot elsewhere (at the worst load none is free, though one is within milliseconds). TestASilentEndpointIsCutOnlyForWhatMayRunAgain now has a second endpoint of each service, as its cuts need one; its expectations are unchanged.

--- a/coord/scheduler/endpoint.go
+++ b/coord/scheduler/endpoint.go
@@ -74,6 +74,11 @@
 	return &endpoint{Endpoint: row, listed: true, runs: map[uint64]*run{}}
 }
 
+// usable tells whether the endpoint may get new work.
+func (e *endpoint) usable(now time.Duration) bool {
+	return e.listed && !e.Draining && now >= e.ejected
+}
+
 // pending is the prompt tokens of own runs that have not had their first event.
 func (e *endpoint) pending() int {
 	tokens := 0
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -131,7 +131,7 @@
 		if e.work > 0 {
 			works = append(works, e.work.Seconds())
 		}
-		if !e.listed || e.Draining || now < e.ejected {
+		if !e.usable(now) {
 			continue
 		}
 		c := &candidate{e: e, slots: e.Slots, running: len(e.runs), prompts: e.pending()}
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -260,12 +260,30 @@
 	s.Enqueue(once)
 	s.Enqueue(plain(3, 0))
 	g.Expect(s.Plan(0).Placements).To(HaveLen(3))
+	s.SetEndpoints([]directory.Endpoint{engine("a"), engine("b"), desk("d"), desk("e")})
 	g.Expect(s.Plan(200 * ms).Cuts).To(BeEmpty())
 	g.Expect(s.Plan(450 * ms).Cuts).To(Equal([]uint64{3}))
 	s.Done(450*ms, 3, scheduler.Unreachable)
 	g.Expect(s.Plan(2 * time.Second).Cuts).To(Equal([]uint64{1}))
 }
 
+// A silent endpoint may still end its answer; a request without another endpoint loses by a cut.
+func TestNothingIsCutWhereNoOtherEndpointMayTakeIt(t *testing.T) {
+	leaving := engine("b")
+	leaving.Draining = true
+	for name, others := range map[string][]directory.Endpoint{
+		"alone": nil, "beside one that drains": {leaving}, "beside another service": {desk("d")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newScheduler(append(others, engine("a"))...)
+			s.Enqueue(stream(1, 0))
+			g.Expect(s.Plan(0).Placements).To(HaveLen(1))
+			g.Expect(s.Plan(3 * time.Second).Cuts).To(BeEmpty())
+		})
+	}
+}
+
 func TestNothingIsCutWithoutTimeToGoElsewhere(t *testing.T) {
 	g := NewWithT(t)
 	s := newScheduler(desk("d"))
@@ -273,6 +291,7 @@
 	short.GiveUp, short.Deadline = 300*ms, 300*ms
 	s.Enqueue(short)
 	g.Expect(s.Plan(0).Placements).To(HaveLen(1))
+	s.SetEndpoints([]directory.Endpoint{desk("d"), desk("e")})
 	for now := time.Duration(0); now < 300*ms; now += 20 * ms {
 		g.Expect(s.Plan(now).Cuts).To(BeEmpty())
 	}
--- a/coord/scheduler/silence.go
+++ b/coord/scheduler/silence.go
@@ -15,14 +15,15 @@
 	silentFactor = 8
 )
 
-// silent lists repeatable runs whose endpoint has sent nothing, to any run, for too long.
+// silent lists repeatable runs whose endpoint has sent nothing, to any run, for too
+// long, and for which there is another endpoint.
 func (s *Scheduler) silent(now time.Duration) []uint64 {
 	var cuts []uint64
 	for id, r := range s.runs {
 		if now >= r.request.Deadline-2*s.cfg.RefuseMargin {
 			continue // no time is left to go elsewhere
 		}
-		if r.request.Repeatable && now > max(r.lastByte, r.endpoint.lastByte)+s.patience(r) {
+		if r.request.Repeatable && now > max(r.lastByte, r.endpoint.lastByte)+s.patience(r) && s.elsewhere(now, r) {
 			cuts = append(cuts, id)
 		}
 	}
@@ -30,6 +31,16 @@
 	return cuts
 }
 
+// elsewhere tells whether another endpoint may take the request of a run.
+func (s *Scheduler) elsewhere(now time.Duration, r *run) bool {
+	for id, e := range s.endpoints {
+		if e != r.endpoint && e.Service == r.request.Service && e.usable(now) && !r.request.Avoid[id] {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) patience(r *run) time.Duration {
 	e := r.endpoint
 	if !r.request.Stream {
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -35,7 +35,7 @@
 	rng       *rand.Rand
 	belief    belief
 	waiting   map[uint64]chan<- decision
-	cuts      map[uint64]context.CancelCauseFunc
+	cuts      map[uint64]cutter
 	members   *members
 	reported  time.Duration
 	expired   time.Duration
@@ -55,7 +55,7 @@
 		budgets: map[string]*retry.Budget{},
 		rng:     rng,
 		waiting: map[uint64]chan<- decision{},
-		cuts:    map[uint64]context.CancelCauseFunc{},
+		cuts:    map[uint64]cutter{},
 		members: newMembers(f.cfg.ID, f.cfg.Timing.MemberLife),
 	}
 }
@@ -121,11 +121,29 @@
 		c.decide(r.Request, decision{refusal: &r})
 	}
 	for _, id := range plan.Cuts {
-		if cut := c.cuts[id]; cut != nil {
-			cut(errSilent)
-			delete(c.cuts, id)
-		}
+		c.cutSilent(now, id)
+	}
+}
+
+// cutter ends an attempt whose request may be sent again.
+type cutter struct {
+	cut     context.CancelCauseFunc
+	service string
+	sends   int // of the request, this attempt included
+}
+
+// cutSilent ends an attempt whose endpoint went silent. The further send is taken out
+// of the budget first: without it the endpoint may still end its answer.
+func (c *control) cutSilent(now time.Duration, id uint64) {
+	held, ok := c.cuts[id]
+	if !ok {
+		return
+	}
+	if _, ok := c.budget(held.service).Retry(now, "", uint32(held.sends), false); !ok {
+		return
 	}
+	held.cut(errSilent)
+	delete(c.cuts, id)
 }
 
 func (c *control) decide(id uint64, d decision) {
@@ -174,6 +192,7 @@
 type submitMessage struct {
 	request scheduler.Request
 	first   bool
+	sends   int // so far
 	reply   chan<- decision
 	cut     context.CancelCauseFunc
 }
@@ -181,7 +200,7 @@
 func (m submitMessage) apply(c *control) {
 	c.waiting[m.request.ID] = m.reply
 	if m.request.Repeatable {
-		c.cuts[m.request.ID] = m.cut
+		c.cuts[m.request.ID] = cutter{cut: m.cut, service: m.request.Service, sends: m.sends + 1}
 	}
 	c.scheduler.Enqueue(m.request)
 	if m.first {
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand"
 	"net/http"
 	"time"
@@ -235,7 +236,7 @@
 	reply := make(chan decision, 1)
 	attempt, cut := context.WithCancelCause(d.whole)
 	d.ctx = attempt
-	d.front.send(submitMessage{request: d.request(), first: d.tries == 1, reply: reply, cut: cut})
+	d.front.send(submitMessage{request: d.request(), first: d.tries == 1, sends: d.sends, reply: reply, cut: cut})
 	select {
 	case answer := <-reply:
 		if answer.refusal != nil {
@@ -270,7 +271,7 @@
 		AccountRank: d.grant.AccountPriority(), Urgency: route.Priority, Stream: route.Kind == routing.Streaming,
 		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint,
 		Arrived: now, GapTarget: route.GapTarget, Deadline: d.ends, GiveUp: d.ends,
-		Repeatable: route.Repeatable() && d.runs+1 < route.MaxAttempts, Avoid: d.avoid,
+		Repeatable: route.Repeatable() && d.runs+1 < route.MaxAttempts, Avoid: maps.Clone(d.avoid),
 	}
 	if r.OutputTokens == 0 {
 		r.OutputTokens = int(hintlessShare * float64(d.call.MaxOutputTokens))
@@ -320,8 +321,12 @@
 	return ""
 }
 
-// budgeted asks for one further send.
+// budgeted asks for one further send. An attempt that was cut for its endpoint's
+// silence has it already.
 func (d *delivery) budgeted() bool {
+	if errors.Is(context.Cause(d.ctx), errSilent) {
+		return true
+	}
 	reply := make(chan bool, 1)
 	d.front.send(retryMessage{service: d.service, attempt: uint32(d.sends), reply: reply})
 	select {
