scheduler, front: a stream's silence is judged by its caller's patience; a started one goes first

Prompts of other entries did not count in the time that an endpoint may be silent; with 28 fronts a front has few runs at an endpoint, so none of them shows that it lives. Change: prompts of all entries count; the time is at least 0.45 of what the caller waits for an event; a started stream goes before all others, is not turned away for the backlog, and waits as long as its caller does. Ruled out: the retry budget (it had paid for the further send).

--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -195,6 +195,9 @@
 
 // density is the worth of a request per second of a slot.
 func (s *Scheduler) density(now time.Duration, r *Request, p *pool) float64 {
+	if r.Started {
+		return math.Inf(1)
+	}
 	worth := r.worth(s.means[keyOf(r)])
 	first := float64(r.PromptTokens) / max(p.bestRate, 1)
 	switch {
@@ -224,7 +227,7 @@
 
 // choose returns the endpoint with the least expected cost, or nil where the request waits.
 func (s *Scheduler) choose(now time.Duration, r *Request, p *pool) (*candidate, float64) {
-	if p.held >= p.allowed || p.open == 0 {
+	if p.open == 0 || p.held >= p.allowed && !r.Started {
 		return nil, 0
 	}
 	var best *candidate
@@ -318,7 +321,7 @@
 	var left []*Request
 	for _, r := range queue {
 		wait := time.Duration(ahead / share * float64(time.Second))
-		if len(p.candidates) > 0 && now+wait > s.startBy(now, r) {
+		if len(p.candidates) > 0 && !r.Started && now+wait > s.startBy(now, r) {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
 			continue
 		}
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -45,7 +45,12 @@
 	Due time.Duration
 	// GapTarget is the longest pause between events that is on time; 0 = none.
 	GapTarget time.Duration
-	// GiveUp is when its caller stops waiting for a first byte.
+	// EventWait is how long its caller waits for an event of its stream; 0 = unknown.
+	EventWait time.Duration
+	// Started tells that its caller has events of its stream already. It goes before
+	// all others, since its caller would get a broken answer in place of a refusal.
+	Started bool
+	// GiveUp is when its caller stops waiting for a first byte, or for the next event.
 	GiveUp time.Duration
 	// Deadline is when its caller stops waiting for the end.
 	Deadline time.Duration
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -267,6 +267,61 @@
 	g.Expect(s.Plan(2 * time.Second).Cuts).To(Equal([]uint64{1}))
 }
 
+// Another entry's long prompts hold up a run that this entry has at the endpoint; its
+// silence is no sign that the endpoint is gone.
+func TestNothingIsCutWhileThePromptsOfOthersAreRead(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(engine("a"))
+	s.Enqueue(stream(1, 0))
+	g.Expect(s.Plan(0).Placements).To(HaveLen(1))
+	s.SetEndpoints([]directory.Endpoint{engine("a"), engine("b")})
+	for now := time.Duration(0); now < 1200*ms; now += 20 * ms {
+		s.PeerReport(now, "other", scheduler.Report{Loads: map[string]scheduler.Load{"a": {Running: 1, PromptTokens: 40_000}}})
+		g.Expect(s.Plan(now).Cuts).To(BeEmpty())
+	}
+	g.Expect(s.Plan(3*time.Second).Cuts).To(Equal([]uint64{1}), "no report any more")
+}
+
+// A caller that waits long for an event gives its endpoint more time.
+func TestSilenceIsMeasuredByTheTimeThatCallersWait(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(engine("a"))
+	r := stream(1, 0)
+	r.EventWait = 3200 * ms
+	s.Enqueue(r)
+	g.Expect(s.Plan(0).Placements).To(HaveLen(1))
+	s.SetEndpoints([]directory.Endpoint{engine("a"), engine("b")})
+	g.Expect(s.Plan(1400 * ms).Cuts).To(BeEmpty())
+	g.Expect(s.Plan(1500 * ms).Cuts).To(Equal([]uint64{1}))
+}
+
+// A stream that was cut goes before all that waits, and is not turned away for the backlog.
+func TestAStartedStreamGoesFirstAndIsNotTurnedAway(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler(engine("a"))
+	for id := range uint64(60) {
+		r := stream(id+10, 0)
+		r.OutputTokens = 3000
+		s.Enqueue(r)
+	}
+	running := placed(s.Plan(0))
+	g.Expect(running).To(HaveLen(2))
+	again := stream(1, 0)
+	again.Started, again.Urgency, again.OutputTokens, again.Due = true, 3, 5000, 0
+	again.GiveUp = 2 * time.Second
+	s.Enqueue(again)
+	plan := s.Plan(600 * ms)
+	g.Expect(plan.Refusals).NotTo(BeEmpty(), "the backlog turns others away")
+	for _, refused := range plan.Refusals {
+		g.Expect(refused.Request).NotTo(Equal(uint64(1)))
+	}
+	for id := range running {
+		s.Done(700*ms, id, scheduler.Answered)
+		break
+	}
+	g.Expect(placed(s.Plan(700 * ms))).To(HaveKey(uint64(1)))
+}
+
 // A silent endpoint may still end its answer; a request without another endpoint loses by a cut.
 func TestNothingIsCutWhereNoOtherEndpointMayTakeIt(t *testing.T) {
 	leaving := engine("b")
--- a/coord/scheduler/silence.go
+++ b/coord/scheduler/silence.go
@@ -7,8 +7,11 @@
 
 const (
 	// silentStream is how long a stream that may go on elsewhere is let be silent,
-	// at least, before its endpoint is taken to be gone.
+	// at least, before its endpoint is taken to be gone, and silentShare is the part of
+	// the time that its caller waits for an event. An event after a longer pause is late
+	// already, so a quicker cut gains nothing and may end a run that was about to start.
 	silentStream = 900 * time.Millisecond
+	silentShare  = 0.45
 	// silentPlain is the part of the time that a plain request has in which its endpoint may be silent.
 	silentPlain = 0.4
 	// silentFactor multiplies the expected time where that is longer.
@@ -48,6 +51,8 @@
 		return max(whole, silentFactor*max(e.work, defaultWork))
 	}
 	pace := max(e.pace, defaultEventTime)
-	prompt := time.Duration(float64(e.pending()) / promptPerEvent * float64(pace))
-	return max(silentStream, silentFactor*pace+2*prompt)
+	pending := e.pending() + s.peers.loads[e.ID].PromptTokens
+	prompts := time.Duration(float64(pending) / promptPerEvent * float64(pace))
+	share := time.Duration(silentShare * float64(r.request.EventWait))
+	return max(silentStream, share, silentFactor*pace+2*prompts)
 }
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -280,11 +280,9 @@
 	r.Returned = d.before > 0 || d.tries > 1
 	r.Due = d.arrived + route.TargetLatency - d.before
 	if r.Stream {
-		silence := max(silenceFloor, silenceTargets*route.TargetLatency, silenceGaps*route.GapTarget)
-		r.GiveUp = min(d.ends, d.arrived+silence)
-		if d.started {
-			r.GiveUp = min(d.ends, now+silenceFloor)
-		}
+		r.EventWait = max(silenceFloor, silenceTargets*route.TargetLatency, silenceGaps*route.GapTarget)
+		r.Started = d.started
+		r.GiveUp = min(d.ends, max(d.arrived, d.lastPassed)+r.EventWait)
 	}
 	return r
 }
