scheduler: with many entries each is at home at a part of the endpoints

Cause: 28 fronts report to each other every 140 ms, while a prompt is read in 10 to 100 ms: fronts that choose among all engines by the same old reports send their prompts to the same ones. Change: rendezvous hashing gives each endpoint at least five home entries and each entry nine endpoints on average; elsewhere costs 0.6 s. With five entries or fewer nothing changes.

--- a/coord/scheduler/endpoint.go
+++ b/coord/scheduler/endpoint.go
@@ -45,6 +45,7 @@
 type endpoint struct {
 	directory.Endpoint
 	listed    bool
+	away      bool // this entry is not at home here
 	runs      map[uint64]*run
 	pace      time.Duration // time between events; 0 = unknown
 	work      time.Duration // time of a plain request; 0 = unknown
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -255,6 +255,9 @@
 // cost is what sending a request to an endpoint is expected to cost, in seconds.
 func (s *Scheduler) cost(now time.Duration, r *Request, c *candidate) float64 {
 	cost := failureCost * c.e.failures
+	if c.e.away {
+		cost += awayCost
+	}
 	if !s.services[r.Service].Engine {
 		queued := float64(c.running) / float64(max(c.slots, 1))
 		return cost + c.work*(1+queued)
--- a/coord/scheduler/replay_test.go
+++ b/coord/scheduler/replay_test.go
@@ -60,6 +60,7 @@
 }
 
 type world struct {
+	deployment
 	rng     *rand.Rand
 	engines map[string]*simEngine
 	fronts  []policy
@@ -81,14 +82,26 @@
 func (o outcome) served() float64 { return float64(o.onTime+o.late) / float64(o.asked) }
 
 const (
-	simTick     = 5 * ms
-	simReport   = 50 * ms
-	simLength   = 24 * time.Second
-	simSilence  = 3200 * ms
-	simFronts   = 5
-	simEngines  = 12
-	simSlots    = 12
-	loadOverall = 1.4
+	simTick    = 5 * ms
+	simLength  = 24 * time.Second
+	simSilence = 3200 * ms
+	simSlots   = 12
+)
+
+// deployment is the size of a replayed deployment. Overall multiplies the load of the
+// smallest one, and reports are so far apart.
+type deployment struct {
+	fronts, engines int
+	overall         float64
+	report          time.Duration
+	length          time.Duration
+}
+
+var (
+	// smallDeployment has one front in one of three failure domains.
+	smallDeployment = deployment{fronts: 5, engines: 12, overall: 1.4, report: 50 * ms, length: 24 * time.Second}
+	// grownDeployment has so many fronts that reports are seldom.
+	grownDeployment = deployment{fronts: 28, engines: 51, overall: 6, report: 140 * ms, length: 7 * time.Second}
 )
 
 // burstAt is the load against the ordinary one: two bursts, and less capacity meanwhile.
@@ -102,20 +115,21 @@
 	return 1
 }
 
-func newWorld(seed int64, front func(i int, rows []directory.Endpoint) policy) *world {
+func newWorld(seed int64, size deployment, front func(d deployment, i int, rows []directory.Endpoint) policy) *world {
 	w := &world{
-		rng: rand.New(rand.NewSource(seed)), engines: map[string]*simEngine{}, calls: map[uint64]*simCall{},
+		deployment: size,
+		rng:        rand.New(rand.NewSource(seed)), engines: map[string]*simEngine{}, calls: map[uint64]*simCall{},
 		back: map[time.Duration][]*simCall{}, gaps: map[uint64][]time.Duration{},
 	}
 	w.result.byKind = map[string][3]int{}
 	var rows []directory.Endpoint
-	for i := range simEngines {
+	for i := range w.deployment.engines {
 		id := fmt.Sprint("e", i)
 		w.engines[id] = &simEngine{id: id, slots: simSlots, speed: []float64{0.55, 1, 2.8}[i%3]}
 		rows = append(rows, directory.Endpoint{ID: id, Service: "model", Address: id, Slots: simSlots, Born: 1})
 	}
-	for i := range simFronts {
-		w.fronts = append(w.fronts, front(i, rows))
+	for i := range w.deployment.fronts {
+		w.fronts = append(w.fronts, front(size, i, rows))
 	}
 	return w
 }
@@ -129,7 +143,7 @@
 
 func (w *world) arrivals(now time.Duration) {
 	for k := range kinds {
-		rate := kinds[k].perSecond * loadOverall * burstAt(now) * simTick.Seconds()
+		rate := kinds[k].perSecond * w.overall * burstAt(now) * simTick.Seconds()
 		for n := w.poisson(rate); n > 0; n-- {
 			c := &simCall{kind: &kinds[k], asked: now, front: w.frontOf()}
 			c.prompt = w.tokens(c.kind.prompt, c.kind.promptSpread, c.kind.mostPromptToken)
@@ -151,7 +165,10 @@
 
 // frontOf draws a front. One failure domain of three has a single front.
 func (w *world) frontOf() int {
-	return []int{0, 1, 2, 3, 4, 4}[w.rng.Intn(6)]
+	if w.deployment.fronts == smallDeployment.fronts {
+		return []int{0, 1, 2, 3, 4, 4}[w.rng.Intn(6)]
+	}
+	return w.rng.Intn(w.deployment.fronts)
 }
 
 func (w *world) poisson(mean float64) int {
@@ -172,8 +189,8 @@
 }
 
 func (w *world) run() outcome {
-	for now := time.Duration(0); now < simLength+6*time.Second; now += simTick {
-		if now < simLength {
+	for now := time.Duration(0); now < w.length+6*time.Second; now += simTick {
+		if now < w.length {
 			w.arrivals(now)
 		}
 		for _, c := range w.back[now] {
@@ -186,7 +203,7 @@
 		for i, f := range w.fronts {
 			w.carryOut(now, i, f.plan(now))
 		}
-		if now%simReport == 0 {
+		if now%w.report == 0 {
 			w.exchange(now)
 		}
 	}
@@ -195,7 +212,7 @@
 }
 
 func (w *world) engineSteps(now time.Duration) {
-	for i := range simEngines {
+	for i := range w.deployment.engines {
 		e := w.engines[fmt.Sprint("e", i)]
 		for e.at <= now {
 			events, ended := e.step(max(e.at, now-simTick))
@@ -299,21 +316,32 @@
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
 			}); ok && i != j {
-				other.peer(now, fmt.Sprint("f", i), report)
+				other.peer(now, frontName(i), report)
 			}
 		}
 	}
 }
 
+func frontName(i int) string {
+	return fmt.Sprint("f", i)
+}
+
 // ours is the scheduler under test.
 type ours struct{ s *scheduler.Scheduler }
 
-func newOurs(i int, rows []directory.Endpoint) policy {
+func newOurs(d deployment, i int, rows []directory.Endpoint) policy {
 	s := scheduler.New(scheduler.Config{
 		ReportLife: scheduler.DefaultReportLife, RefuseMargin: scheduler.DefaultRefuseMargin,
 	}, rand.New(rand.NewSource(int64(i))))
 	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: simSlots, Engine: true, EventTokens: simEvent}})
 	s.SetEndpoints(rows)
+	var others []string
+	for j := range d.fronts {
+		if j != i {
+			others = append(others, frontName(j))
+		}
+	}
+	s.SetEntries(frontName(i), others)
 	return &ours{s}
 }
 
@@ -342,6 +370,7 @@
 // counts, an even share of each engine's slots, the least in flight first, requests in
 // order of arrival, refused after half of their target with a second to come back.
 type leastInFlight struct {
+	share   int // of an engine's slots
 	rows    []directory.Endpoint
 	held    map[string]int
 	at      map[uint64]string
@@ -349,8 +378,8 @@
 	since   map[uint64]time.Duration
 }
 
-func newLeastInFlight(_ int, rows []directory.Endpoint) policy {
-	return &leastInFlight{rows: rows, held: map[string]int{}, at: map[uint64]string{}, since: map[uint64]time.Duration{}}
+func newLeastInFlight(d deployment, _ int, rows []directory.Endpoint) policy {
+	return &leastInFlight{share: simSlots/d.fronts + 1, rows: rows, held: map[string]int{}, at: map[uint64]string{}, since: map[uint64]time.Duration{}}
 }
 
 func (l *leastInFlight) enqueue(now time.Duration, c *simCall) {
@@ -364,7 +393,7 @@
 	for _, c := range l.waiting {
 		best := ""
 		for _, row := range l.rows {
-			if l.held[row.ID] < simSlots/simFronts+1 && (best == "" || l.held[row.ID] < l.held[best]) {
+			if l.held[row.ID] < l.share && (best == "" || l.held[row.ID] < l.held[best]) {
 				best = row.ID
 			}
 		}
@@ -407,8 +436,8 @@
 func TestBurstsAgainstThePlainFront(t *testing.T) {
 	g := NewWithT(t)
 	for seed := int64(1); seed <= 3; seed++ {
-		plain := newWorld(seed, newLeastInFlight).run()
-		own := newWorld(seed, newOurs).run()
+		plain := newWorld(seed, smallDeployment, newLeastInFlight).run()
+		own := newWorld(seed, smallDeployment, newOurs).run()
 		t.Logf("seed %d, plain: worth %.3f served %.3f %v", seed, plain.share(), plain.served(), plain.byKind)
 		t.Logf("seed %d, ours:  worth %.3f served %.3f %v", seed, own.share(), own.served(), own.byKind)
 		g.Expect(own.share()).To(BeNumerically(">", 1.1*plain.share()), "a tenth above the plain front")
@@ -419,3 +448,21 @@
 		}
 	}
 }
+
+// The same bursts in a grown deployment: 28 fronts report to each other every 140 ms,
+// which is longer than a prompt takes to be read. Fronts that choose among all engines
+// send their prompts to the same ones; at home at some of them they do so seldom.
+func TestManyFrontsDoNotMeetAtTheSameEngines(t *testing.T) {
+	g := NewWithT(t)
+	strangers := func(d deployment, i int, rows []directory.Endpoint) policy {
+		p := newOurs(d, i, rows)
+		p.(*ours).s.SetEntries(frontName(i), nil)
+		return p
+	}
+	everywhere := newWorld(1, grownDeployment, strangers).run()
+	atHome := newWorld(1, grownDeployment, newOurs).run()
+	t.Logf("all engines: worth %.3f served %.3f %v", everywhere.share(), everywhere.served(), everywhere.byKind)
+	t.Logf("at home:     worth %.3f served %.3f %v", atHome.share(), atHome.served(), atHome.byKind)
+	g.Expect(atHome.share()).To(BeNumerically(">", everywhere.share()+0.03), "a clear gain")
+	g.Expect(atHome.served()).To(BeNumerically(">=", everywhere.served()))
+}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -58,6 +58,8 @@
 type Scheduler struct {
 	cfg       Config
 	rng       *rand.Rand
+	self      string   // name of this entry
+	others    []string // names of the other entries
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint // in order of their IDs; nil = to be made again
 	services  map[string]ServiceInfo
@@ -123,6 +125,7 @@
 		}
 		for _, list := range s.byService {
 			slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+			s.settle(list)
 		}
 	}
 	return s.byService[service]
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -137,6 +137,7 @@
 func (c *control) membersChanged(now time.Duration) {
 	names := c.members.names()
 	c.ledger.SetPeers(now, names)
+	c.scheduler.SetEntries(c.front.cfg.ID, names)
 	for _, b := range c.budgets {
 		b.Resize(c.retryBurst())
 	}
