scheduler: the largest requests of a kind do not starve in a long overload

Change: shares of large and largest requests that were placed are learned by kind; one that falls behind 0.7 of its kind is lifted by the cube of the lag. The price is the users' rule: half of the largest tenth take the slots of more small ones.

--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -206,7 +206,9 @@
 	case now.Seconds()+first > r.Due.Seconds():
 		worth *= lateWorth
 	}
-	worth *= 1 + refusedWeight*s.refused[keyOf(r)]
+	key := keyOf(r)
+	worth *= 1 + refusedWeight*s.refused[key]
+	worth *= s.placedOf(key).lift(sizeClassOf(r.size(), s.means[key]))
 	return worth / max(s.slotTime(r, p), 1e-4)
 }
 
--- a/coord/scheduler/replay_test.go
+++ b/coord/scheduler/replay_test.go
@@ -1,9 +1,11 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,9 +48,12 @@
 	returned bool
 	started  time.Duration
 	placed   bool
+	served   bool
 	id       uint64
 }
 
+func (c *simCall) size() int { return c.prompt + 10*c.output }
+
 // policy decides in one front.
 type policy interface {
 	enqueue(now time.Duration, c *simCall)
@@ -76,6 +81,29 @@
 	asked, onTime, late, unserved int
 	worth, owed                   float64
 	byKind                        map[string][3]int // asked, on time, served
+	calls                         []*simCall
+}
+
+// largestServed is the share of a kind's largest tenth that was served, against that of the kind.
+func (o outcome) largestServed(kind string) float64 {
+	var calls []*simCall
+	for _, c := range o.calls {
+		if c.kind.name == kind {
+			calls = append(calls, c)
+		}
+	}
+	slices.SortFunc(calls, func(a, b *simCall) int { return cmp.Compare(b.size(), a.size()) })
+	tenth := calls[:len(calls)/10]
+	share := func(calls []*simCall) float64 {
+		served := 0
+		for _, c := range calls {
+			if c.served {
+				served++
+			}
+		}
+		return float64(served) / float64(len(calls))
+	}
+	return share(tenth) / share(calls)
 }
 
 func (o outcome) share() float64  { return o.worth / o.owed }
@@ -152,6 +180,7 @@
 			w.result.asked++
 			w.result.owed += c.kind.worth
 			w.count(c, 0)
+			w.result.calls = append(w.result.calls, c)
 			w.ask(now, c)
 		}
 	}
@@ -259,6 +288,7 @@
 	delete(w.calls, c.id)
 	delete(w.gaps, c.id)
 	w.count(c, 2)
+	c.served = true
 	if c.started-c.asked <= c.kind.target && r.longest <= 400*ms {
 		w.result.onTime++
 		w.result.worth += c.kind.worth
@@ -466,3 +496,19 @@
 	g.Expect(atHome.share()).To(BeNumerically(">", everywhere.share()+0.03), "a clear gain")
 	g.Expect(atHome.served()).To(BeNumerically(">=", everywhere.served()))
 }
+
+// A long overload, in which a fifth is turned away. Worth per second of a slot alone
+// serves small requests; the largest tenth of each kind must still be served half as
+// often as the kind.
+func TestTheLargestAreServedInALongOverload(t *testing.T) {
+	g := NewWithT(t)
+	overload := deployment{fronts: 5, engines: 12, overall: 1.8, report: 20 * ms, length: 24 * time.Second}
+	for seed := int64(1); seed <= 3; seed++ {
+		own := newWorld(seed, overload, newOurs).run()
+		t.Logf("seed %d: worth %.3f served %.3f %v", seed, own.share(), own.served(), own.byKind)
+		for _, k := range kinds {
+			t.Logf("%s: the largest tenth against all %.2f", k.name, own.largestServed(k.name))
+			g.Expect(own.largestServed(k.name)).To(BeNumerically(">", 0.5), k.name)
+		}
+	}
+}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -67,8 +67,9 @@
 	queues    map[string][]*Request
 	means     map[meanKey]float64
 	peers     peers
-	biases    map[string]*bias     // by service
-	refused   map[meanKey]float64  // share of a kind's recent requests that were turned away
+	biases    map[string]*bias    // by service
+	refused   map[meanKey]float64 // share of a kind's recent requests that were turned away
+	placed    map[meanKey]*placedShares
 	deferred  map[string]*deferral // by service
 }
 
@@ -83,7 +84,7 @@
 	return &Scheduler{
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
-		queues: map[string][]*Request{}, means: map[meanKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refused: map[meanKey]float64{}, deferred: map[string]*deferral{},
+		queues: map[string][]*Request{}, means: map[meanKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refused: map[meanKey]float64{}, placed: map[meanKey]*placedShares{}, deferred: map[string]*deferral{},
 	}
 }
 
@@ -299,6 +300,16 @@
 		sample = 1
 	}
 	s.refused[key] += refusedGain * (sample - s.refused[key])
+	s.placedOf(key).observe(sizeClassOf(r.size(), s.means[key]), !refused)
+}
+
+func (s *Scheduler) placedOf(key meanKey) *placedShares {
+	p := s.placed[key]
+	if p == nil {
+		p = newPlacedShares()
+		s.placed[key] = p
+	}
+	return p
 }
 
 // deferral is the work, in seconds of a slot, that was turned away and is expected back.
