front, mirror, overlay: many fronts read the store through a few of them

Change: with more than eight fronts, three read the store and pass topics on (twirp, one step for 39 fronts, two for 480). Records keep the store's offsets, so that a front changes between the store and any other front at each read. What is passed on has the age of its proof; a front whose parents fail, know nothing or are older than 1.3 s reads the store itself. The end of an outage is passed on as well, since rows may have lapsed in it. Ruled out: longer intervals (drain and configuration bounds), a reader for each failure domain only (no second one where it is cut off).

--- /dev/null
+++ b/coord/mirror/mirror_test.go
@@ -0,0 +1,139 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"primrosespoke.dev/coord/mirror"
+)
+
+// newest is what a topic's records come to.
+func newest(records []mirror.Record) map[string]string {
+	rows := map[string]string{}
+	for _, r := range records {
+		if r.Value == nil {
+			delete(rows, r.Key)
+			continue
+		}
+		rows[r.Key] = string(r.Value)
+	}
+	return rows
+}
+
+// follower reads a topic now from the store and now from a mirror.
+type follower struct {
+	rows map[string]string
+	next int64
+}
+
+func (f *follower) take(whole bool, b mirror.Batch) {
+	if whole {
+		f.rows = map[string]string{}
+	}
+	for _, r := range b.Records {
+		if r.Value == nil {
+			delete(f.rows, r.Key)
+			continue
+		}
+		f.rows[r.Key] = string(r.Value)
+	}
+	f.next = b.Next
+}
+
+func draw(t *rapid.T, offset int64) mirror.Record {
+	r := mirror.Record{Offset: offset, Key: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")}
+	if rapid.IntRange(0, 2).Draw(t, "removed") > 0 {
+		r.Value = []byte(fmt.Sprint(offset))
+	}
+	return r
+}
+
+// A follower that changes at will between the store and a mirror, which itself reads
+// the whole topic or its changes, ends with the topic's newest rows.
+func TestAFollowerOfAMirrorSeesTheTopic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var log []mirror.Record
+		m := mirror.New()
+		f := &follower{next: -1}
+		whole := func() mirror.Batch {
+			b := mirror.Batch{Next: int64(len(log))}
+			for key, value := range newest(log) {
+				b.Records = append(b.Records, mirror.Record{Offset: offsetOf(log, key), Key: key, Value: []byte(value)})
+			}
+			return b
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				log = append(log, draw(t, int64(len(log))))
+			case 2:
+				if m.Known() && rapid.Bool().Draw(t, "changes") {
+					from := m.Next()
+					m.Append(from, mirror.Batch{Records: log[from:], Next: int64(len(log))}, time.Duration(len(log)))
+				} else {
+					m.Replace(whole(), time.Duration(len(log)))
+				}
+			case 3:
+				if f.next >= 0 {
+					f.take(false, mirror.Batch{Records: log[f.next:], Next: int64(len(log))})
+				} else {
+					f.take(true, whole())
+				}
+			case 4:
+				b, ok := m.Since(f.next)
+				switch {
+				case ok:
+					f.take(false, b)
+				case m.Known() && m.Next() >= f.next:
+					f.take(true, m.Whole())
+				}
+			}
+			if f.next >= 0 {
+				g.Expect(f.rows).To(Equal(newest(log[:f.next])), "the rows as of the follower's offset")
+			}
+		}
+	})
+}
+
+func offsetOf(log []mirror.Record, key string) int64 {
+	last := int64(-1)
+	for _, r := range log {
+		if r.Key == key {
+			last = r.Offset
+		}
+	}
+	return last
+}
+
+func TestRecordsThatDoNotFollowAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New()
+	m.Append(0, mirror.Batch{Next: 3}, time.Second)
+	g.Expect(m.Known()).To(BeFalse(), "nothing was read whole")
+	m.Replace(mirror.Batch{Next: 3}, time.Second)
+	m.Append(5, mirror.Batch{Next: 9}, 2*time.Second)
+	g.Expect(m.Next()).To(Equal(int64(3)))
+	g.Expect(m.Proven()).To(Equal(time.Second))
+	m.Replace(mirror.Batch{Next: 2}, 3*time.Second)
+	g.Expect(m.Next()).To(Equal(int64(3)), "an older read does not take it back")
+}
+
+// Removed keys are remembered, so that followers hear of them, but not for ever.
+func TestRemovedKeysAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New()
+	m.Replace(mirror.Batch{}, 0)
+	for i := range int64(5000) {
+		m.Append(i, mirror.Batch{Records: []mirror.Record{{Offset: i, Key: fmt.Sprint(i)}}, Next: i + 1}, 0)
+	}
+	_, ok := m.Since(10)
+	g.Expect(ok).To(BeFalse(), "the topic must be read whole")
+	recent, ok := m.Since(4990)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(recent.Records).To(HaveLen(10))
+}
--- a/coord/overlay/overlay.go
+++ b/coord/overlay/overlay.go
@@ -18,6 +18,14 @@
 	orderKey = "table-overlay"
 )
 
+// Shape is how many processes read and how many name one process as their first parent.
+type Shape struct {
+	Readers, Fanout int
+}
+
+// TableShape is that of the table's overlay.
+var TableShape = Shape{Readers: Readers, Fanout: Fanout}
+
 // Place is a process's place in the overlay.
 type Place struct {
 	// Reader says that the process reads the log itself.
@@ -32,6 +40,11 @@
 // or whose view is empty, is a reader. One that the list does not show yet, or
 // shows as leaving, stands behind all others.
 func Locate(view membership.View, self string) Place {
+	return TableShape.Locate(view, self)
+}
+
+// Locate returns the place of the process at an address, as the function of that name does.
+func (s Shape) Locate(view membership.View, self string) Place {
 	order := ordered(view)
 	position := len(order)
 	for i, instance := range order {
@@ -39,11 +52,11 @@
 			position = i
 		}
 	}
-	if position < Readers {
+	if position < s.Readers {
 		return Place{Reader: true}
 	}
-	place := Place{Depth: depth(position)}
-	for _, parent := range parents(order, position) {
+	place := Place{Depth: s.depth(position)}
+	for _, parent := range s.parents(order, position) {
 		place.Parents = append(place.Parents, order[parent].Address)
 	}
 	return place
@@ -84,8 +97,8 @@
 
 // parents returns two positions below the given one, in different failure domains
 // if one near the first can be had; following them always ends at a reader.
-func parents(order []membership.Instance, position int) []int {
-	first := (position - Readers) / Fanout
+func (s Shape) parents(order []membership.Instance, position int) []int {
+	first := (position - s.Readers) / s.Fanout
 	second := -1
 	for _, step := range []int{1, -1, 2, -2} {
 		candidate := first + step
@@ -105,10 +118,10 @@
 	return []int{first, second}
 }
 
-func depth(position int) int {
+func (s Shape) depth(position int) int {
 	steps := 0
-	for position >= Readers {
-		position = (position - Readers) / Fanout
+	for position >= s.Readers {
+		position = (position - s.Readers) / s.Fanout
 		steps++
 	}
 	return steps
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/mirror"
 	"primrosespoke.dev/coord/routing"
 )
 
@@ -80,19 +81,8 @@
 	TopicMembers
 )
 
-// Record is one record of a topic.
-type Record struct {
-	Offset int64
-	Key    string
-	// Value is nil where the key was removed.
-	Value []byte
-}
-
-// Batch is the result of a read.
-type Batch struct {
-	Records []Record
-	// Next is the offset to read from next.
-	Next int64
+var topicNames = map[Topic]string{
+	TopicConfiguration: "configuration", TopicEndpoints: "endpoints", TopicMembers: "members",
 }
 
 // ErrTrimmed means that the records asked for are gone: the newest must be read instead.
@@ -104,13 +94,13 @@
 // Store is the platform's store, where everything lasting is kept.
 type Store interface {
 	// Newest returns the newest record of each key, and where to read on.
-	Newest(ctx context.Context, topic Topic) (Batch, error)
+	Newest(ctx context.Context, topic Topic) (mirror.Batch, error)
 	// Read returns the records from an offset on. It waits for the first one.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Batch, error)
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
 	// Put writes a row; a nil value removes it.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// DecodeConfiguration decodes the row of the configuration. Other rows are ErrForeignRow.
-	DecodeConfiguration(r Record) (*routing.Table, error)
+	DecodeConfiguration(r mirror.Record) (*routing.Table, error)
 	// DecodeEndpoint decodes the row of an endpoint.
-	DecodeEndpoint(r Record) (directory.Endpoint, error)
+	DecodeEndpoint(r mirror.Record) (directory.Endpoint, error)
 }
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -7,18 +7,49 @@
 
 	"github.com/pkg/errors"
 
+	"primrosespoke.dev/coord/mirror"
 	"primrosespoke.dev/coord/routing"
 )
 
-// follower tells of one topic's reachability: a line when it is lost and one when it is regained.
+// follower reads one topic, and tells of its reachability: a line when it is lost and
+// one when it is regained.
 type follower struct {
 	front *Front
-	name  string
-	lost  time.Duration // since when calls fail; 0 = they don't
+	topic Topic
+	next  int64         // offset to read from; -1 = the whole topic
+	lost  time.Duration // since when reads fail; 0 = they don't
 	fails int
 }
 
-// failed notes a failed call and waits before the next.
+func newFollower(f *Front, topic Topic) *follower {
+	return &follower{front: f, topic: topic, next: -1}
+}
+
+// read returns what is new. After a failure it has waited for a moment, and ok is
+// false. Regained tells that records may have lapsed in an outage that has ended.
+func (w *follower) read(ctx context.Context, wait time.Duration) (got fetched, regained, ok bool) {
+	if w.lost != 0 {
+		wait = 0 // the first answer after an outage is wanted at once
+	}
+	from := w.next
+	got, err := w.front.fetch(ctx, w.topic, from, wait)
+	if errors.Is(err, ErrTrimmed) {
+		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("from", from).Msg("topic_read_anew")
+		w.next = -1
+		return fetched{}, false, false
+	}
+	if err != nil {
+		w.failed(ctx, err)
+		return fetched{}, false, false
+	}
+	if w.succeeded() {
+		got.outageEnd = max(got.outageEnd, w.front.now())
+	}
+	w.next = got.Next
+	return got, w.front.topics[w.topic].took(from, got), true
+}
+
+// failed notes a failed read and waits before the next.
 func (w *follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -27,22 +58,22 @@
 	w.fails++
 	if w.lost == 0 {
 		w.lost = w.front.now()
-		w.front.log.Warn().Str("topic", w.name).Err(err).Msg("store_lost")
+		w.front.log.Warn().Str("topic", topicNames[w.topic]).Err(err).Msg("store_lost")
 	}
+	w.front.topics[w.topic].lose()
 	pause(ctx, w.front.cfg.Timing.StoreRetry)
 }
 
-// outageAfter is how long calls must have failed for rows to be thought lapsed.
+// outageAfter is how long reads must have failed for rows to be thought lapsed.
 const outageAfter = 800 * time.Millisecond
 
-// succeeded notes a call that was answered. It tells whether an outage ended.
+// succeeded notes a read that was answered. It tells whether an outage ended.
 func (w *follower) succeeded() bool {
-	w.front.metrics.storeCalls.Add(w.front.base, 1)
 	if w.lost == 0 {
 		return false
 	}
 	lasted := w.front.now() - w.lost
-	w.front.log.Info().Str("topic", w.name).Dur("lasted_ms", lasted).Int("failures", w.fails).Msg("store_regained")
+	w.front.log.Info().Str("topic", topicNames[w.topic]).Dur("lasted_ms", lasted).Int("failures", w.fails).Msg("store_regained")
 	w.lost, w.fails = 0, 0
 	return lasted >= outageAfter
 }
@@ -55,14 +86,14 @@
 }
 
 // read bounds a read of a topic.
-func (f *Front) read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Batch, error) {
+func (f *Front) read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timing.CallTimeout)
 	defer cancel()
 	return f.cfg.Store.Read(ctx, topic, from, wait)
 }
 
 // newest bounds a read of a whole topic.
-func (f *Front) newest(ctx context.Context, topic Topic) (Batch, error) {
+func (f *Front) newest(ctx context.Context, topic Topic) (mirror.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*f.cfg.Timing.CallTimeout)
 	defer cancel()
 	return f.cfg.Store.Newest(ctx, topic)
@@ -70,47 +101,18 @@
 
 // followConfiguration keeps the configuration current. A read proves the moment it was asked.
 func (f *Front) followConfiguration(ctx context.Context) {
-	w := &follower{front: f, name: "configuration"}
-	next := int64(-1)
+	w := newFollower(f, TopicConfiguration)
 	for ctx.Err() == nil {
-		asked := f.now()
-		wait := f.cfg.Timing.ConfigurationWait
-		if w.lost != 0 {
-			wait = 0 // the first answer after an outage is wanted at once
-		}
-		var batch Batch
-		var err error
-		if next < 0 {
-			batch, err = f.newest(ctx, TopicConfiguration)
-		} else {
-			batch, err = f.read(ctx, TopicConfiguration, next, wait)
-		}
-		if errors.Is(err, ErrTrimmed) {
-			f.log.Info().Int64("from", next).Msg("configuration_read_anew")
-			next = -1
-			continue
-		}
-		if err != nil {
-			w.failed(ctx, err)
-			continue
-		}
-		w.succeeded()
-		whole := next < 0
-		next = batch.Next
-		if f.takeConfiguration(batch, asked) {
+		got, _, ok := w.read(ctx, f.cfg.Timing.ConfigurationWait)
+		if !ok || f.takeConfiguration(got.Batch, got.proven) {
 			continue
 		}
-		// An empty answer to a wait that lasted its time proves the end of the wait.
-		if !whole && len(batch.Records) == 0 && f.now() >= asked+wait {
-			f.send(provenMessage{at: asked + wait})
-			continue
-		}
-		if whole && len(batch.Records) == 0 {
+		if got.whole && len(got.Records) == 0 {
 			f.log.Warn().Msg("no_configuration_yet")
 			pause(ctx, f.cfg.Timing.StoreRetry)
 		}
 		if f.hasTable() {
-			f.send(provenMessage{at: asked})
+			f.send(provenMessage{at: got.proven})
 		}
 	}
 }
@@ -120,7 +122,7 @@
 }
 
 // takeConfiguration puts the newest usable row of a batch in force; false if there is none.
-func (f *Front) takeConfiguration(batch Batch, asked time.Duration) bool {
+func (f *Front) takeConfiguration(batch mirror.Batch, asked time.Duration) bool {
 	var newest *routing.Table
 	for _, r := range batch.Records {
 		table, err := f.cfg.Store.DecodeConfiguration(r)
@@ -144,34 +146,23 @@
 
 // followEndpoints keeps the list of endpoints current.
 func (f *Front) followEndpoints(ctx context.Context) {
-	w := &follower{front: f, name: "endpoints"}
-	next := int64(-1)
+	w := newFollower(f, TopicEndpoints)
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		var batch Batch
-		var err error
-		whole := next < 0
-		if whole {
-			batch, err = f.newest(ctx, TopicEndpoints)
-		} else {
-			batch, err = f.read(ctx, TopicEndpoints, next, 0)
-		}
-		if errors.Is(err, ErrTrimmed) {
-			f.log.Info().Int64("from", next).Msg("endpoints_read_anew")
-			next = -1
+		got, regained, ok := w.read(ctx, wait)
+		if !ok {
 			continue
 		}
-		if err != nil {
-			w.failed(ctx, err)
-			continue
+		f.send(rowsMessage{rows: f.decodeRows(got.Batch), whole: got.whole, end: got.Next, regained: regained})
+		if wait = relayWait; !got.relayed {
+			// Rows change all the time, so the store is asked at intervals.
+			wait = 0
+			pause(ctx, f.cfg.Timing.EndpointInterval)
 		}
-		regained := w.succeeded()
-		next = batch.Next
-		f.send(rowsMessage{rows: f.decodeRows(batch), whole: whole, end: batch.Next, regained: regained})
-		pause(ctx, f.cfg.Timing.EndpointInterval)
 	}
 }
 
-func (f *Front) decodeRows(batch Batch) []row {
+func (f *Front) decodeRows(batch mirror.Batch) []row {
 	rows := make([]row, 0, len(batch.Records))
 	for _, r := range batch.Records {
 		decoded := row{offset: r.Offset, id: r.Key, removed: r.Value == nil}
@@ -189,29 +180,15 @@
 
 // followMembers reads the other entries' rows.
 func (f *Front) followMembers(ctx context.Context) {
-	w := &follower{front: f, name: "members"}
-	next := int64(-1)
+	w := newFollower(f, TopicMembers)
 	interval := f.cfg.Timing.MemberInterval / 8 // the first reads follow soon, as all start at once
 	for ctx.Err() == nil {
-		var batch Batch
-		var err error
-		if next < 0 {
-			batch, err = f.newest(ctx, TopicMembers)
-		} else {
-			batch, err = f.read(ctx, TopicMembers, next, 0)
-		}
-		if errors.Is(err, ErrTrimmed) {
-			next = -1
-			continue
-		}
-		if err != nil {
-			w.failed(ctx, err)
-			pause(ctx, f.cfg.Timing.MemberInterval)
+		got, _, ok := w.read(ctx, 0)
+		if !ok {
+			pause(ctx, interval)
 			continue
 		}
-		w.succeeded()
-		next = batch.Next
-		f.send(membersMessage{records: batch.Records})
+		f.send(membersMessage{records: got.Records})
 		pause(ctx, interval)
 		interval = min(2*interval, f.cfg.Timing.MemberInterval)
 	}
@@ -219,17 +196,17 @@
 
 // writeMember keeps this entry's row in the store, and removes it at the end.
 func (f *Front) writeMember(ctx context.Context) {
-	w := &follower{front: f, name: "own member row"}
 	for beat := int64(1); ctx.Err() == nil; beat++ {
-		value, err := json.Marshal(member{Address: f.cfg.PeerAddress, Incarnation: f.incarnation, Beat: beat})
+		value, err := json.Marshal(member{
+			Address: f.cfg.PeerAddress, FailureDomain: f.cfg.FailureDomain, Incarnation: f.incarnation, Beat: beat,
+		})
 		if err != nil {
 			f.log.Error().Err(err).Msg("member_row_unencodable")
 			return
 		}
-		if err := f.put(ctx, value); err != nil {
-			w.failed(ctx, err)
-		} else {
-			w.succeeded()
+		if err := f.put(ctx, value); err != nil && ctx.Err() == nil {
+			f.metrics.storeFailures.Add(ctx, 1)
+			f.log.Warn().Int64("beat", beat).Err(err).Msg("member_row_not_written")
 		}
 		pause(ctx, f.cfg.Timing.MemberInterval)
 	}
@@ -241,5 +218,6 @@
 func (f *Front) put(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timing.CallTimeout)
 	defer cancel()
+	f.metrics.storeCalls.Add(ctx, 1)
 	return f.cfg.Store.Put(ctx, TopicMembers, f.cfg.ID, value)
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -15,6 +15,8 @@
 
 	"primrosespoke.dev/daemon/boottime"
 	"primrosespoke.dev/daemon/peer/backend"
+	"primrosespoke.dev/daemon/peer/node"
+	"primrosespoke.dev/daemon/peer/node/nodepb"
 )
 
 const (
@@ -42,6 +44,7 @@
 	metrics     *metrics
 
 	callers, ready, operators net.Listener
+	relays                    net.Listener
 	peers                     *net.UDPConn
 
 	inbox     chan message
@@ -53,6 +56,8 @@
 	draining  atomic.Bool
 	answering atomic.Int64
 	lastID    atomic.Uint64
+	topics    map[Topic]*relayedTopic
+	relay     *relay
 }
 
 // New opens the listeners of a front.
@@ -67,6 +72,7 @@
 		cfg: cfg, log: cfg.Log, incarnation: newIncarnation(), clock: boottime.New(),
 		pool: backend.NewPool(cfg.Backend), metrics: m,
 		inbox: make(chan message, inboxSize), stopped: make(chan struct{}), base: base, cutAll: cutAll,
+		topics: newRelayedTopics(), relay: newRelay(),
 	}
 	f.belief.Store(&belief{})
 	if err := f.open(); err != nil {
@@ -96,6 +102,9 @@
 			return errors.Wrap(err, "listen for operators")
 		}
 	}
+	if f.relays, err = net.Listen("tcp", f.cfg.PeerAddress); err != nil {
+		return errors.Wrap(err, "listen for other entries' reads")
+	}
 	address, err := net.ResolveUDPAddr("udp", f.cfg.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "address for other entries")
@@ -105,7 +114,7 @@
 }
 
 func (f *Front) closeListeners() {
-	for _, l := range []net.Listener{f.callers, f.ready, f.operators} {
+	for _, l := range []net.Listener{f.callers, f.ready, f.operators, f.relays} {
 		if l != nil {
 			_ = l.Close() // nothing depends on how a listener ends
 		}
@@ -134,6 +143,7 @@
 	var background sync.WaitGroup
 	background.Go(func() { newControl(f).run(f.base); close(f.stopped) })
 	background.Go(f.listen)
+	go f.serveRelay() // nothing depends on its end
 	for _, follow := range []func(context.Context){f.followConfiguration, f.followEndpoints, f.followMembers} {
 		background.Go(func() { follow(f.base) })
 	}
@@ -165,6 +175,12 @@
 	return err
 }
 
+func (f *Front) serveRelay() {
+	if err := node.Serve(f.base, f.relays, nodepb.NewRelayServer(relayServer{f})); err != nil && f.base.Err() == nil {
+		f.log.Error().Err(err).Msg("relay_failed")
+	}
+}
+
 func (f *Front) serve(s *http.Server, l net.Listener, failed chan<- error) {
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -4,12 +4,16 @@
 	"encoding/json"
 	"sort"
 	"time"
+
+	"primrosespoke.dev/coord/mirror"
 )
 
 // member is the row that an entry keeps in the store for the others.
 type member struct {
 	// Address is where it takes reports.
 	Address string `json:"address"`
+	// FailureDomain is where it runs.
+	FailureDomain string `json:"failure_domain"`
 	// Incarnation is another one after each start.
 	Incarnation string `json:"incarnation"`
 	// Beat grows with each write.
@@ -47,7 +51,7 @@
 	if known.member == row {
 		return false
 	}
-	moved := known.Address != row.Address
+	moved := known.Address != row.Address || known.FailureDomain != row.FailureDomain
 	known.member, known.changed = row, now
 	return moved
 }
@@ -112,7 +116,7 @@
 }
 
 // membersMessage brings rows of the list of entries.
-type membersMessage struct{ records []Record }
+type membersMessage struct{ records []mirror.Record }
 
 func (m membersMessage) apply(c *control) {
 	now := c.front.now()
@@ -142,4 +146,8 @@
 		b.Resize(c.retryBurst())
 	}
 	c.front.log.Info().Strs("others", names).Msg("members_changed")
+	place := locate(c.front.cfg.PeerAddress, c.front.cfg.FailureDomain, c.members)
+	if c.front.relay.setPlace(place) {
+		c.front.log.Info().Bool("reads_store", place.direct).Strs("parents", place.parents).Msg("relay_place_changed")
+	}
 }
--- a/daemon/peer/node/client.go
+++ b/daemon/peer/node/client.go
@@ -44,6 +44,7 @@
 	agents  map[string]nodepb.Agent
 	entries map[string]nodepb.Entry
 	tables  map[string]nodepb.Table
+	relays  map[string]nodepb.Relay
 }
 
 // NewClient returns a client with connections of its own.
@@ -64,6 +65,7 @@
 		agents:  map[string]nodepb.Agent{},
 		entries: map[string]nodepb.Entry{},
 		tables:  map[string]nodepb.Table{},
+		relays:  map[string]nodepb.Relay{},
 	}
 }
 
@@ -88,6 +90,13 @@
 	})
 }
 
+// Relay returns the relay calls of the front at an address.
+func (c *Client) Relay(address string) nodepb.Relay {
+	return cached(c, c.relays, address, func(base string) nodepb.Relay {
+		return nodepb.NewRelayProtobufClient(base, c.http)
+	})
+}
+
 func cached[T any](c *Client, known map[string]T, address string, create func(base string) T) T {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,6 +116,7 @@
 	retain(c.agents, keep)
 	retain(c.entries, keep)
 	retain(c.tables, keep)
+	retain(c.relays, keep)
 }
 
 func retain[T any](known map[string]T, keep func(string) bool) {
