front: reports between fronts in CBOR, levels of caps in each eighth

Ruled out: usage of changed accounts only (a lost report would have to be made good by a full one, and a first report would have to be full).

--- a/daemon/front/exchange.go
+++ b/daemon/front/exchange.go
@@ -1,11 +1,11 @@
 package front
 
 import (
-	"encoding/json"
 	"net"
 	"net/netip"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/allowance"
@@ -15,17 +15,30 @@
 // maxDatagram bounds a report between entries, in bytes.
 const maxDatagram = 60 << 10
 
+// levelsEvery is how many reports carry the levels of the caps once. Only a front that
+// has just started needs them.
+const levelsEvery = 8
+
+// reportEncoding writes numbers in the fewest bytes.
+var reportEncoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // report is what entries tell each other, often and without acknowledgement: all of
 // it is state, so a lost report is made good by the next one.
 type report struct {
-	From        string             `json:"from"`
-	Address     string             `json:"address"`
-	Incarnation string             `json:"incarnation"`
-	Sequence    uint64             `json:"sequence"`
-	Loads       map[string][2]int  `json:"loads,omitempty"` // endpoint: running, prompt tokens
-	Demand      map[string]int     `json:"demand,omitempty"`
-	Usage       map[string]float64 `json:"usage,omitempty"`
-	Levels      map[string]float64 `json:"levels,omitempty"`
+	From        string             `cbor:"1,keyasint"`
+	Address     string             `cbor:"2,keyasint"`
+	Incarnation string             `cbor:"3,keyasint"`
+	Sequence    uint64             `cbor:"4,keyasint"`
+	Loads       map[string][2]int  `cbor:"5,keyasint,omitempty"` // endpoint: running, prompt tokens
+	Demand      map[string]int     `cbor:"6,keyasint,omitempty"`
+	Usage       map[string]float64 `cbor:"7,keyasint,omitempty"`
+	Levels      map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // report sends this entry's state to the others.
@@ -39,10 +52,14 @@
 		loads[id] = [2]int{l.Running, l.PromptTokens}
 	}
 	c.sequence++
-	data, err := json.Marshal(report{
+	r := report{
 		From: c.front.cfg.ID, Address: c.front.cfg.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.sequence,
-		Loads: loads, Demand: own.Demand, Usage: c.ledger.Usage(), Levels: c.ledger.Levels(now),
-	})
+		Loads: loads, Demand: own.Demand, Usage: c.ledger.Usage(),
+	}
+	if c.sequence%levelsEvery == 1 {
+		r.Levels = c.ledger.Levels(now)
+	}
+	data, err := reportEncoding.Marshal(r)
 	if err != nil {
 		c.front.log.Error().Err(err).Msg("report_unencodable")
 		return
@@ -76,7 +93,7 @@
 			continue
 		}
 		var r report
-		if err := json.Unmarshal(buffer[:n], &r); err != nil {
+		if err := cbor.Unmarshal(buffer[:n], &r); err != nil {
 			f.log.Warn().Err(err).Msg("report_unreadable")
 			continue
 		}
