settings: reference page; the interval of the endpoints' list follows the drain bound

Cause: the list was read every 850 ms whatever the deployment's bound is: too seldom where endpoints must be left within a second, more often than needed where they have three.

--- a/daemon/cmd/primrosespoke/main.go
+++ b/daemon/cmd/primrosespoke/main.go
@@ -70,10 +70,16 @@
 	}, reload)
 }
 
-type settingsCommand struct{}
+type settingsCommand struct {
+	Page bool `help:"Print the reference page, as in docs/SETTINGS.md."`
+}
 
 // Run lists every setting with its default, unit and meaning.
-func (settingsCommand) Run() error {
+func (c settingsCommand) Run() error {
+	if c.Page {
+		fmt.Print(settings.Reference())
+		return nil
+	}
 	for _, key := range settings.Keys() {
 		fmt.Printf("%s\n    %s\n", key.Path, key.Doc)
 		fmt.Printf("    default %q", key.Default)
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -21,6 +21,9 @@
 	// trustShare is the part of the time for which keys may be trusted that is used:
 	// a request is still to be sent after the check.
 	trustShare = 0.9
+	// listShare is the part of the time within which a leaving endpoint must be left
+	// that may pass between two reads of the list; the rest covers a call that fails.
+	listShare = 0.4
 )
 
 // FrontPeers are the formats of the platform that a front stands on.
@@ -55,6 +58,7 @@
 		FreshFor:   time.Duration(trustShare * float64(s.Front.TrustKeysFor)),
 		StopWithin: s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
 		CapSlack: s.Front.CapSlack,
+		Timing:   front.Timing{EndpointInterval: time.Duration(listShare * float64(s.Front.LeaveWithin))},
 	})
 	if err != nil {
 		log.Error().Err(err).Msg("not_started")
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -72,10 +72,11 @@
 type Front struct {
 	Callers      string        `yaml:"callers" doc:"listener for callers" check:"address"`
 	Readiness    string        `yaml:"readiness" doc:"listener where the platform asks for readiness" check:"address"`
-	Peers        string        `yaml:"peers" doc:"address for reports of the other entries, over UDP" check:"address"`
+	Peers        string        `yaml:"peers" doc:"address for the other entries: reports over UDP, reads of the store's topics over TCP" check:"address"`
 	Operators    string        `yaml:"operators" doc:"listener for metrics and the state dump; none where it is not given" check:"optional address"`
 	Store        string        `yaml:"store" doc:"address of the platform's store" check:"address"`
 	TrustKeysFor time.Duration `yaml:"trust_keys_for" default:"0s" unit:"duration" doc:"how long after the newest configuration was known for certain keys are trusted; 0 = for ever" check:"min 0s"`
+	LeaveWithin  time.Duration `yaml:"leave_within" default:"2s" unit:"duration" doc:"how long after an endpoint was listed as leaving it may still get new work" check:"min 100ms"`
 	StopWithin   time.Duration `yaml:"stop_within" default:"8s" unit:"duration" doc:"time from a signal to the end of the process" check:"min 1s"`
 	RetryRatio   float64       `yaml:"retry_ratio" default:"0.2" unit:"sends a request" doc:"further sends that all entries together may make, by service" check:"min 0"`
 	RetryBurst   float64       `yaml:"retry_burst" default:"20" unit:"sends" doc:"further sends beyond the ratio that all entries together may make" check:"min 0"`
