front, allowance, scheduler: reports say when the next one is due

Cause: the interval of reports grows with the entries (5 ms each), the time after which an entry counts as unheard did not: with more than 100 entries each would have kept to its even part of every cap, and reports would have lapsed before the next one. Change: three intervals, where that is longer than the fixed times. With 28 fronts (140 ms) nothing changes.

--- a/coord/allowance/allowance.go
+++ b/coord/allowance/allowance.go
@@ -49,6 +49,7 @@
 type peer struct {
 	incarnation string
 	heard       time.Duration
+	silence     time.Duration // where it reports seldom; 0 = Config.Silence
 	usage       Usage
 }
 
@@ -126,6 +127,13 @@
 	p.incarnation, p.heard, p.usage = incarnation, now, usage
 }
 
+// SetSilence gives an entry that reports seldom more time than Config.Silence.
+func (l *Ledger) SetSilence(name string, silence time.Duration) {
+	if p := l.peers[name]; p != nil {
+		p.silence = silence
+	}
+}
+
 // adopt takes over the levels of the first entry that reports. They need not hold
 // what this entry has spent since its start.
 func (l *Ledger) adopt(now time.Duration, levels map[string]float64) {
@@ -145,7 +153,7 @@
 func (l *Ledger) part(now time.Duration) float64 {
 	heard := 1
 	for _, p := range l.peers {
-		if now < p.heard+l.cfg.Silence {
+		if now < p.heard+max(l.cfg.Silence, p.silence) {
 			heard++
 		}
 	}
--- a/coord/allowance/allowance_test.go
+++ b/coord/allowance/allowance_test.go
@@ -202,3 +202,19 @@
 	l.Refund("crew", 5000)
 	g.Expect(l.Levels(0)["crew"]).To(Equal(before))
 }
+
+// An entry that reports seldom, as there are many, is not taken for cut off between two reports.
+func TestAnEntryThatReportsSeldomIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	l := allowance.New(allowance.Config{Silence: 500 * time.Millisecond, StartShare: 1})
+	l.SetCaps(0, map[string]allowance.Cap{"crew": {Rate: 1000, Burst: 1000}})
+	l.SetPeers(0, []string{"other"})
+	l.Report(0, "other", "1", nil, nil)
+	l.SetSilence("other", 1500*time.Millisecond)
+	l.Admit(0, "crew", 1000, 0)
+	g.Expect(l.Levels(time.Second)["crew"]).To(BeNumerically("~", 1000, 1), "the whole rate, since the other is heard")
+	l.Admit(time.Second, "crew", 1000, 0)
+	l.Levels(1500 * time.Millisecond)
+	before := l.Levels(1500 * time.Millisecond)["crew"]
+	g.Expect(l.Levels(2 * time.Second)["crew"]).To(BeNumerically("~", min(before+250, 500), 1), "its own part, since the other is silent")
+}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -52,6 +52,8 @@
 	Loads map[string]Load
 	// Demand by service: requests in progress and waiting.
 	Demand map[string]int
+	// Life is how long the report counts where that is longer than Config.ReportLife.
+	Life time.Duration
 }
 
 // Scheduler is the state of one entry. It is used by one goroutine.
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -103,8 +103,7 @@
 		}
 	}
 	c.plan()
-	timing := c.front.cfg.Timing
-	if now >= c.reported+max(timing.ReportInterval, timing.ReportPerMember*time.Duration(c.members.count())) {
+	if now >= c.reported+c.reportInterval() {
 		c.reported = now
 		c.report(now)
 	}
--- a/daemon/front/exchange.go
+++ b/daemon/front/exchange.go
@@ -39,6 +39,20 @@
 	Demand      map[string]int     `cbor:"6,keyasint,omitempty"`
 	Usage       map[string]float64 `cbor:"7,keyasint,omitempty"`
 	Levels      map[string]float64 `cbor:"8,keyasint,omitempty"`
+	IntervalMS  int64              `cbor:"9,keyasint"` // until the next report
+}
+
+// maxReportInterval bounds the interval that another entry may name.
+const maxReportInterval = 5 * time.Second
+
+// missedReports is how many reports in a row may be lost or late before an entry counts as unheard.
+const missedReports = 3
+
+// reportInterval is the time between two reports. It grows with the entries, so that
+// the reports that an entry sends and takes in a second are bounded.
+func (c *control) reportInterval() time.Duration {
+	timing := c.front.cfg.Timing
+	return max(timing.ReportInterval, timing.ReportPerMember*time.Duration(c.members.count()))
 }
 
 // report sends this entry's state to the others.
@@ -55,6 +69,7 @@
 	r := report{
 		From: c.front.cfg.ID, Address: c.front.cfg.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.sequence,
 		Loads: loads, Demand: own.Demand, Usage: c.ledger.Usage(),
+		IntervalMS: c.reportInterval().Milliseconds(),
 	}
 	if c.sequence%levelsEvery == 1 {
 		r.Levels = c.ledger.Levels(now)
@@ -119,6 +134,8 @@
 	for id, l := range r.Loads {
 		loads[id] = scheduler.Load{Running: l[0], PromptTokens: l[1]}
 	}
-	c.scheduler.PeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand})
+	counts := missedReports * min(time.Duration(r.IntervalMS)*time.Millisecond, maxReportInterval)
+	c.scheduler.PeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, Life: counts})
 	c.ledger.Report(now, r.From, r.Incarnation, allowance.Usage(r.Usage), r.Levels)
+	c.ledger.SetSilence(r.From, counts)
 }
