scheduler, front: entries form groups that report to each other often

Homes by rendezvous hashing share each endpoint among other entries, some 20 in all. Change: entries are dealt to groups of five or more by the order of their hashes, endpoints to the groups likewise. Within a group loads are reported each 5 ms a member, usage still goes to all each 5 ms an entry. Ruled out: more frequent reports to all (bytes, processor time of small fronts).

--- a/coord/scheduler/replay_test.go
+++ b/coord/scheduler/replay_test.go
@@ -122,6 +122,7 @@
 	fronts, engines int
 	overall         float64
 	report          time.Duration
+	groupReport     time.Duration // within a group; 0 = as report
 	length          time.Duration
 }
 
@@ -129,7 +130,7 @@
 	// smallDeployment has one front in one of three failure domains.
 	smallDeployment = deployment{fronts: 5, engines: 12, overall: 1.4, report: 50 * ms, length: 24 * time.Second}
 	// grownDeployment has so many fronts that reports are seldom.
-	grownDeployment = deployment{fronts: 28, engines: 51, overall: 6, report: 140 * ms, length: 7 * time.Second}
+	grownDeployment = deployment{fronts: 28, engines: 51, overall: 6, report: 140 * ms, groupReport: 30 * ms, length: 7 * time.Second}
 )
 
 // burstAt is the load against the ordinary one: two bursts, and less capacity meanwhile.
@@ -232,8 +233,11 @@
 		for i, f := range w.fronts {
 			w.carryOut(now, i, f.plan(now))
 		}
-		if now%w.report == 0 {
-			w.exchange(now)
+		switch {
+		case now%w.report == 0:
+			w.exchange(now, false)
+		case w.groupReport > 0 && now%w.groupReport == 0:
+			w.exchange(now, true)
 		}
 	}
 	w.result.unserved += len(w.calls)
@@ -335,17 +339,18 @@
 	}
 }
 
-func (w *world) exchange(now time.Duration) {
+// exchange hands each front's report to the others, or to those of its group.
+func (w *world) exchange(now time.Duration, group bool) {
 	for i, from := range w.fronts {
 		ours, ok := from.(*ours)
 		if !ok {
 			continue
 		}
-		report := ours.s.Report()
+		report, near := ours.s.Report(), ours.s.Group()
 		for j, to := range w.fronts {
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
-			}); ok && i != j {
+			}); ok && i != j && (!group || slices.Contains(near, frontName(j))) {
 				other.peer(now, frontName(i), report)
 			}
 		}
@@ -481,7 +486,8 @@
 
 // The same bursts in a grown deployment: 28 fronts report to each other every 140 ms,
 // which is longer than a prompt takes to be read. Fronts that choose among all engines
-// send their prompts to the same ones; at home at some of them they do so seldom.
+// send their prompts to the same ones; in groups at home at some of them, which report
+// to each other every 30 ms, they do so seldom.
 func TestManyFrontsDoNotMeetAtTheSameEngines(t *testing.T) {
 	g := NewWithT(t)
 	strangers := func(d deployment, i int, rows []directory.Endpoint) policy {
@@ -489,7 +495,9 @@
 		p.(*ours).s.SetEntries(frontName(i), nil)
 		return p
 	}
-	everywhere := newWorld(1, grownDeployment, strangers).run()
+	seldom := grownDeployment
+	seldom.groupReport = 0
+	everywhere := newWorld(1, seldom, strangers).run()
 	atHome := newWorld(1, grownDeployment, newOurs).run()
 	t.Logf("all engines: worth %.3f served %.3f %v", everywhere.share(), everywhere.served(), everywhere.byKind)
 	t.Logf("at home:     worth %.3f served %.3f %v", atHome.share(), atHome.served(), atHome.byKind)
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -61,7 +61,7 @@
 	cfg       Config
 	rng       *rand.Rand
 	self      string   // name of this entry
-	others    []string // names of the other entries
+	entries   []string // names of all entries, in the order of their hashes
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint // in order of their IDs; nil = to be made again
 	services  map[string]ServiceInfo
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -37,9 +37,8 @@
 	waiting   map[uint64]chan<- decision
 	cuts      map[uint64]cutter
 	members   *members
-	reported  time.Duration
+	reporting reporting
 	expired   time.Duration
-	sequence  uint64
 	caps      map[string]allowance.Cap
 }
 
@@ -103,10 +102,7 @@
 		}
 	}
 	c.plan()
-	if now >= c.reported+c.reportInterval() {
-		c.reported = now
-		c.report(now)
-	}
+	c.sendReports(now)
 }
 
 // plan carries out what the scheduler decides.
--- a/daemon/front/exchange.go
+++ b/daemon/front/exchange.go
@@ -39,7 +39,8 @@
 	Demand      map[string]int     `cbor:"6,keyasint,omitempty"`
 	Usage       map[string]float64 `cbor:"7,keyasint,omitempty"`
 	Levels      map[string]float64 `cbor:"8,keyasint,omitempty"`
-	IntervalMS  int64              `cbor:"9,keyasint"` // until the next report
+	IntervalMS  int64              `cbor:"9,keyasint"`            // until the next full report
+	Full        bool               `cbor:"10,keyasint,omitempty"` // with usage
 }
 
 // maxReportInterval bounds the interval that another entry may name.
@@ -48,39 +49,72 @@
 // missedReports is how many reports in a row may be lost or late before an entry counts as unheard.
 const missedReports = 3
 
-// reportInterval is the time between two reports. It grows with the entries, so that
-// the reports that an entry sends and takes in a second are bounded.
-func (c *control) reportInterval() time.Duration {
-	timing := c.front.cfg.Timing
-	return max(timing.ReportInterval, timing.ReportPerMember*time.Duration(c.members.count()))
+// reporting says when reports are due. Those to the entries of the own group tell of
+// loads alone and are frequent; those to all tell of usage as well.
+type reporting struct {
+	group      []string // names; empty = all are in one group
+	groupSent  time.Duration
+	sent       time.Duration
+	sequence   uint64
+	fullNumber uint64
 }
 
-// report sends this entry's state to the others.
-func (c *control) report(now time.Duration) {
-	if len(c.members.all) == 0 {
-		return
+// interval is the time between two reports to a number of entries. It grows with
+// them, so that the reports that an entry sends and takes in a second are bounded.
+func (t Timing) interval(entries int) time.Duration {
+	return max(t.ReportInterval, t.ReportPerMember*time.Duration(entries))
+}
+
+// sendReports sends the reports that are due.
+func (c *control) sendReports(now time.Duration) {
+	r, timing := &c.reporting, c.front.cfg.Timing
+	switch {
+	case len(c.members.all) == 0:
+	case now >= r.sent+timing.interval(c.members.count()):
+		r.sent, r.groupSent = now, now
+		c.report(c.fullReport(now), c.members.names())
+	case len(r.group) < len(c.members.all) && now >= r.groupSent+timing.interval(len(r.group)+1):
+		r.groupSent = now
+		c.report(c.loadReport(), r.group)
 	}
+}
+
+// loadReport tells of what this entry holds.
+func (c *control) loadReport() report {
 	own := c.scheduler.Report()
 	loads := make(map[string][2]int, len(own.Loads))
 	for id, l := range own.Loads {
 		loads[id] = [2]int{l.Running, l.PromptTokens}
 	}
-	c.sequence++
-	r := report{
-		From: c.front.cfg.ID, Address: c.front.cfg.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.sequence,
-		Loads: loads, Demand: own.Demand, Usage: c.ledger.Usage(),
-		IntervalMS: c.reportInterval().Milliseconds(),
+	c.reporting.sequence++
+	return report{
+		From: c.front.cfg.ID, Address: c.front.cfg.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
+		Loads: loads, Demand: own.Demand, IntervalMS: c.front.cfg.Timing.interval(c.members.count()).Milliseconds(),
 	}
-	if c.sequence%levelsEvery == 1 {
+}
+
+// fullReport tells of usage as well.
+func (c *control) fullReport(now time.Duration) report {
+	r := c.loadReport()
+	r.Full, r.Usage = true, c.ledger.Usage()
+	if c.reporting.fullNumber%levelsEvery == 0 {
 		r.Levels = c.ledger.Levels(now)
 	}
+	c.reporting.fullNumber++
+	return r
+}
+
+// report sends a report to other entries.
+func (c *control) report(r report, names []string) {
 	data, err := reportEncoding.Marshal(r)
 	if err != nil {
 		c.front.log.Error().Err(err).Msg("report_unencodable")
 		return
 	}
-	for _, s := range c.members.all {
-		c.front.sendReport(s.Address, data)
+	for _, name := range names {
+		if s := c.members.all[name]; s != nil {
+			c.front.sendReport(s.Address, data)
+		}
 	}
 }
 
@@ -136,6 +170,8 @@
 	}
 	counts := missedReports * min(time.Duration(r.IntervalMS)*time.Millisecond, maxReportInterval)
 	c.scheduler.PeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, Life: counts})
-	c.ledger.Report(now, r.From, r.Incarnation, allowance.Usage(r.Usage), r.Levels)
-	c.ledger.SetSilence(r.From, counts)
+	if r.Full {
+		c.ledger.Report(now, r.From, r.Incarnation, allowance.Usage(r.Usage), r.Levels)
+		c.ledger.SetSilence(r.From, counts)
+	}
 }
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -142,6 +142,7 @@
 	names := c.members.names()
 	c.ledger.SetPeers(now, names)
 	c.scheduler.SetEntries(c.front.cfg.ID, names)
+	c.reporting.group = c.scheduler.Group()
 	for _, b := range c.budgets {
 		b.Resize(c.retryBurst())
 	}
