front: a front that the store refuses makes no outage of it for those that read from it

The end of an outage was passed on with the topics, and an engine that had gone was held as lapsed at a front that could read all the while; and topics read seldom were too old to be passed on.

--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -42,11 +42,10 @@
 		w.failed(ctx, err)
 		return fetched{}, false, false
 	}
-	if w.succeeded() {
-		got.outageEnd = max(got.outageEnd, w.front.now())
-	}
+	regained = w.succeeded()
 	w.next = got.Next
-	return got, w.front.topics[w.topic].took(from, got), true
+	w.front.topics[w.topic].took(from, got)
+	return got, regained, true
 }
 
 // failed notes a failed read and waits before the next.
--- a/daemon/front/relay.go
+++ b/daemon/front/relay.go
@@ -25,15 +25,14 @@
 	relayReaderWait = 600 * time.Millisecond
 	// relayLimit bounds a read of another front beyond the time that it waits.
 	relayLimit = 250 * time.Millisecond
-	// relayAge is the greatest age of what is taken from another front: a front that is
-	// cut off from the store tells at first what was true before.
-	relayAge = 1300 * time.Millisecond
+	// relayLag is the greatest age of what is taken from another front, beyond the time
+	// between two reads of the topic: a front that is cut off from the store tells at
+	// first what was true before.
+	relayLag = 700 * time.Millisecond
 	// relayPause is how long a front that failed a read is left out.
 	relayPause = 2 * time.Second
 	// maxRelayWait bounds the wait that a caller may ask for.
 	maxRelayWait = time.Second
-	// outageTolerance is the difference below which two reports tell of one outage.
-	outageTolerance = 500 * time.Millisecond
 )
 
 // relayShape puts up to 39 fronts one step from a reader, and 480 two.
@@ -48,17 +47,14 @@
 	proven time.Duration
 	// relayed tells that another front passed them on.
 	relayed bool
-	// outageEnd is when the store was known to be readable again; 0 = no outage is known.
-	outageEnd time.Duration
 }
 
 // relayedTopic is what a front passes on of one topic.
 type relayedTopic struct {
-	mu        sync.Mutex
-	mirror    *mirror.Mirror
-	lost      bool
-	outageEnd time.Duration
-	changed   chan struct{} // closed at the next change
+	mu      sync.Mutex
+	mirror  *mirror.Mirror
+	lost    bool
+	changed chan struct{} // closed at the next change
 }
 
 func newRelayedTopics() map[Topic]*relayedTopic {
@@ -69,8 +65,8 @@
 	return topics
 }
 
-// took keeps what a read returned. It tells whether an outage ended that was not known before.
-func (t *relayedTopic) took(from int64, got fetched) (regained bool) {
+// took keeps what a read returned.
+func (t *relayedTopic) took(from int64, got fetched) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.mirror.Next()
@@ -79,13 +75,10 @@
 	} else {
 		t.mirror.Append(from, got.Batch, got.proven)
 	}
-	regained = got.outageEnd > t.outageEnd+outageTolerance
-	t.outageEnd = max(t.outageEnd, got.outageEnd)
-	if t.mirror.Next() != next || t.lost || regained {
+	if t.mirror.Next() != next || t.lost {
 		t.wake()
 	}
 	t.lost = false
-	return regained
 }
 
 // lose notes that the topic can't be read.
@@ -146,9 +139,6 @@
 		batch = t.mirror.Whole()
 	}
 	reply := &nodepb.TopicReply{Whole: !ok, Next: batch.Next, AgeUs: (now - t.mirror.Proven()).Microseconds()}
-	if t.outageEnd > 0 {
-		reply.OutageUs = max((now - t.outageEnd).Microseconds(), 1)
-	}
 	for _, r := range batch.Records {
 		reply.Records = append(reply.Records, &nodepb.TopicRecord{
 			Offset: r.Offset, Key: r.Key, Value: r.Value, Removed: r.Value == nil,
@@ -297,6 +287,17 @@
 	return got, nil
 }
 
+// readInterval is the time between two reads of a topic by a front that reads the store.
+func (f *Front) readInterval(topic Topic) time.Duration {
+	switch topic {
+	case TopicEndpoints:
+		return f.cfg.Timing.EndpointInterval
+	case TopicMembers:
+		return f.cfg.Timing.MemberInterval
+	}
+	return relayReaderWait
+}
+
 // fetchRelayed reads another front. A reason says why its answer can't be used.
 func (f *Front) fetchRelayed(ctx context.Context, parent string, topic Topic, from int64, wait time.Duration) (fetched, string) {
 	ctx, cancel := context.WithTimeout(ctx, wait+relayLimit)
@@ -314,12 +315,9 @@
 	// The other's clock is not this one's. It answered not before it was asked and had held the call.
 	answered := asked + time.Duration(reply.HeldUs)*time.Microsecond
 	got := fetched{whole: reply.Whole, relayed: true, proven: answered - time.Duration(reply.AgeUs)*time.Microsecond}
-	if f.now()-got.proven > relayAge {
+	if f.now()-got.proven > f.readInterval(topic)+relayLag {
 		return fetched{}, "too old"
 	}
-	if reply.OutageUs > 0 {
-		got.outageEnd = max(answered-time.Duration(reply.OutageUs)*time.Microsecond, 0)
-	}
 	got.Next = reply.Next
 	for _, r := range reply.Records {
 		record := mirror.Record{Offset: r.Offset, Key: r.Key, Value: r.Value}
