--- a/coord/scheduler/replay_test.go
+++ b/coord/scheduler/replay_test.go
@@ -401,77 +401,12 @@
 	}
 }
 
-// leastInFlight is the plain front that ours is compared with: alone with its own
-// counts, an even share of each engine's slots, the least in flight first, requests in
-// order of arrival, refused after half of their target with a second to come back.
-type leastInFlight struct {
-	share   int // of an engine's slots
-	rows    []directory.Endpoint
-	held    map[string]int
-	at      map[uint64]string
-	waiting []*simCall
-	since   map[uint64]time.Duration
-}
-
-func newLeastInFlight(d deployment, _ int, rows []directory.Endpoint) policy {
-	return &leastInFlight{share: simSlots/d.fronts + 1, rows: rows, held: map[string]int{}, at: map[uint64]string{}, since: map[uint64]time.Duration{}}
-}
-
-func (l *leastInFlight) enqueue(now time.Duration, c *simCall) {
-	l.waiting = append(l.waiting, c)
-	l.since[c.id] = now
-}
-
-func (l *leastInFlight) plan(now time.Duration) scheduler.Plan {
-	var p scheduler.Plan
-	var left []*simCall
-	for _, c := range l.waiting {
-		best := ""
-		for _, row := range l.rows {
-			if l.held[row.ID] < l.share && (best == "" || l.held[row.ID] < l.held[best]) {
-				best = row.ID
-			}
-		}
-		switch {
-		case best != "":
-			l.held[best]++
-			l.at[c.id] = best
-			p.Placements = append(p.Placements, scheduler.Placement{Request: c.id, Endpoint: best})
-		case now > l.since[c.id]+c.kind.target/2:
-			p.Refusals = append(p.Refusals, scheduler.Refusal{Request: c.id, RetryAfter: time.Second})
-		default:
-			left = append(left, c)
-		}
-	}
-	l.waiting = left
-	return p
-}
-
-func (l *leastInFlight) firstEvent(time.Duration, uint64)              {}
-func (l *leastInFlight) progress(time.Duration, uint64, time.Duration) {}
-func (l *leastInFlight) done(_ time.Duration, id uint64) {
-	if at, ok := l.at[id]; ok {
-		l.held[at]--
-		delete(l.at, id)
-	}
-}
-
-func (l *leastInFlight) cancel(now time.Duration, id uint64) {
-	l.done(now, id)
-	for i, c := range l.waiting {
-		if c.id == id {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-			return
-		}
-	}
-}
-
 // The worst load of the users' deployments: two bursts beyond what the engines can
 // take, engines of unlike speed, and a failure domain with one front in place of two.
 func TestBurstsAgainstThePlainFront(t *testing.T) {
 	g := NewWithT(t)
 	for seed := int64(1); seed <= 3; seed++ {
-		plain := newWorld(seed, smallDeployment, newLeastInFlight).run()
+		plain := newWorld(seed, smallDeployment, newPlain(leastInFlight)).run()
 		own := newWorld(seed, smallDeployment, newOurs).run()
 		t.Logf("seed %d, plain: worth %.3f served %.3f %v", seed, plain.share(), plain.served(), plain.byKind)
 		t.Logf("seed %d, ours:  worth %.3f served %.3f %v", seed, own.share(), own.served(), own.byKind)
