--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -8,31 +8,12 @@
 )
 
 const (
-	// gapShare is the part of the promised gap that prompts in progress may take.
-	gapShare = 0.75
-	// neighbourWeight is the cost of a second of delay for each neighbour, in seconds.
-	neighbourWeight = 0.15
-	// paceWeight is the cost of a second of generation, against one of waiting for the first event.
-	paceWeight = 0.1
-	// lateCost is added, in seconds, where the first event is expected late.
-	lateCost = 1.0
-	// gapCost is added for each second beyond the promised gap.
-	gapCost = 4.0
-	// deadlineCost is added where the end is expected after the deadline.
-	deadlineCost = 3.0
-	// failureCost is added in proportion to an endpoint's failure rate.
-	failureCost = 3.0
-	// lateQueue is how far a late request may be from its start.
-	lateQueue = 600 * time.Millisecond
 	// refusedWeight raises the worth of kinds of which many are turned away, so that none starves.
 	refusedWeight = 1.5
 	// patientShare is the part of the time until it is due that a request waits for a better endpoint.
 	patientShare = 0.35
 	// patientCost is how much better an endpoint without a free slot must be to be waited for.
 	patientCost = 0.8
-	// minRetryAfter and maxRetryAfter bound the time after which a refused request is asked back.
-	minRetryAfter = 300 * time.Millisecond
-	maxRetryAfter = 5 * time.Second
 )
 
 // Plan decides what is sent, turned away and cut now.
@@ -212,21 +193,6 @@
 	return worth / max(s.slotTime(r, p), 1e-4)
 }
 
-// slotTime is how long a request is expected to take a slot, in seconds. While a
-// prompt is read, all requests at the endpoint stand still, so it counts for each slot.
-func (s *Scheduler) slotTime(r *Request, p *pool) float64 {
-	if !s.services[r.Service].Engine {
-		return p.work
-	}
-	slots := float64(p.slots) / float64(max(len(p.candidates), 1))
-	return float64(r.PromptTokens)/p.rate*max(slots, 1) + float64(r.OutputTokens)*s.tokenTime(r.Service, p.pace)
-}
-
-// tokenTime is the time of a token where an event takes pace seconds.
-func (s *Scheduler) tokenTime(service string, pace float64) float64 {
-	return pace / float64(max(s.services[service].EventTokens, 1))
-}
-
 // choose returns the endpoint with the least expected cost, or nil where the request waits.
 func (s *Scheduler) choose(now time.Duration, r *Request, p *pool) (*candidate, float64) {
 	if p.open == 0 || p.held >= p.allowed && !r.Started {
@@ -254,52 +220,6 @@
 	return best, least
 }
 
-// cost is what sending a request to an endpoint is expected to cost, in seconds.
-func (s *Scheduler) cost(now time.Duration, r *Request, c *candidate) float64 {
-	cost := failureCost * c.e.failures
-	if c.e.away {
-		cost += awayCost
-	}
-	if !s.services[r.Service].Engine {
-		queued := float64(c.running) / float64(max(c.slots, 1))
-		return cost + c.work*(1+queued)
-	}
-	first := c.firstEvent(r)
-	prompts := float64(c.prompts + r.PromptTokens)
-	generation := float64(r.OutputTokens) * s.tokenTime(r.Service, c.pace)
-	cost += first + paceWeight*generation
-	cost += neighbourWeight * float64(r.PromptTokens) / c.rate * float64(c.running)
-	if now.Seconds()+first > r.Due.Seconds() {
-		cost += lateCost
-	}
-	if gap := gapShare * r.GapTarget.Seconds(); gap > 0 {
-		cost += gapCost * max(s.stretchedGap(r.Service, prompts, c)-gap, 0)
-	}
-	if now.Seconds()+first+generation > r.Deadline.Seconds() {
-		cost += deadlineCost
-	}
-	return cost
-}
-
-// firstEvent is how long a request is expected to wait for its first event, in seconds.
-func (c *candidate) firstEvent(r *Request) float64 {
-	first := float64(c.prompts+r.PromptTokens)/c.rate + c.pace
-	if over := c.running + 1 - c.slots; over > 0 {
-		first += c.pace * float64(over) * 2
-	}
-	return first * c.bias
-}
-
-// promptChunk is how many prompt tokens an engine is assumed to read in one step.
-const promptChunk = 2048.0
-
-// stretchedGap is the time between two events while prompts are read: an event
-// takes the steps of its tokens, and each step reads a chunk at most.
-func (s *Scheduler) stretchedGap(service string, prompts float64, c *candidate) float64 {
-	steps := float64(max(s.services[service].EventTokens, 1))
-	return c.pace + min(prompts, steps*promptChunk)/c.rate
-}
-
 func (s *Scheduler) place(now time.Duration, r *Request, c *candidate, score float64, p *pool) Placement {
 	placement := Placement{
 		Request: r.ID, Endpoint: c.e.ID, Address: c.e.Address, Waited: now - r.Arrived,
@@ -317,53 +237,3 @@
 	p.held++
 	return placement
 }
-
-// turnAway refuses what can't be started before its caller gives up, given the
-// requests that go before it. It returns the rest.
-func (s *Scheduler) turnAway(now time.Duration, queue []*Request, p *pool, plan *Plan) []*Request {
-	share := float64(max(p.allowed, 1))
-	ahead := 0.0
-	var left []*Request
-	for _, r := range queue {
-		wait := time.Duration(ahead / share * float64(time.Second))
-		if len(p.candidates) > 0 && !r.Started && now+wait > s.startBy(now, r) {
-			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
-			continue
-		}
-		ahead += s.slotTime(r, p)
-		left = append(left, r)
-	}
-	return left
-}
-
-// startBy is until when a request may wait for its start. One that is late and was
-// never refused keeps to a short queue: it is better asked back early, when it will
-// go before others, than held for long and refused in the end.
-func (s *Scheduler) startBy(now time.Duration, r *Request) time.Duration {
-	by := r.GiveUp - s.cfg.RefuseMargin
-	if !r.Returned && now > r.Due {
-		by = min(by, now+lateQueue)
-	}
-	return by
-}
-
-// refuse turns a request away until the backlog is expected to be worked off. The
-// times are spread, so that those refused together do not come back together.
-func (s *Scheduler) refuse(now time.Duration, r *Request, reason Reason, p *pool, queued int) Refusal {
-	s.observeRefusal(r, true)
-	if len(p.candidates) == 0 {
-		reason = ReasonNoEndpoint
-	}
-	d := s.deferralOf(r.Service)
-	backlog := d.current(now)
-	d.work += s.slotTime(r, p)
-	for _, other := range s.queues[r.Service] {
-		backlog += s.slotTime(other, p)
-	}
-	expected := time.Duration(backlog / float64(max(p.allowed, 1)) * float64(time.Second))
-	after := time.Duration((0.75 + 0.5*s.rng.Float64()) * float64(max(expected, minRetryAfter)))
-	return Refusal{
-		Request: r.ID, Reason: reason, RetryAfter: min(after, maxRetryAfter),
-		Waited: now - r.Arrived, Queued: queued,
-	}
-}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand"
 	"slices"
 	"time"
@@ -313,31 +312,3 @@
 	}
 	return p
 }
-
-// deferral is the work, in seconds of a slot, that was turned away and is expected back.
-type deferral struct {
-	work float64
-	at   time.Duration
-}
-
-// deferralLife is the time in which deferred work fades to a third: callers come back
-// within some seconds, or not at all.
-const deferralLife = 3 * time.Second
-
-// current returns the deferred work that has not faded.
-func (d *deferral) current(now time.Duration) float64 {
-	if now > d.at {
-		d.work *= math.Exp(-(now - d.at).Seconds() / deferralLife.Seconds())
-		d.at = now
-	}
-	return d.work
-}
-
-func (s *Scheduler) deferralOf(service string) *deferral {
-	d := s.deferred[service]
-	if d == nil {
-		d = &deferral{}
-		s.deferred[service] = d
-	}
-	return d
-}
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -44,7 +44,7 @@
 	}
 	regained = w.succeeded()
 	w.next = got.Next
-	w.front.topics[w.topic].took(from, got)
+	w.front.topics[w.topic].update(from, got)
 	return got, regained, true
 }
 
@@ -59,7 +59,7 @@
 		w.lost = w.front.now()
 		w.front.log.Warn().Str("topic", topicNames[w.topic]).Err(err).Msg("store_lost")
 	}
-	w.front.topics[w.topic].lose()
+	w.front.topics[w.topic].markLost()
 	pause(ctx, w.front.cfg.Timing.StoreRetry)
 }
 
--- a/daemon/front/topic.go
+++ b/daemon/front/topic.go
@@ -30,8 +30,8 @@
 	return topics
 }
 
-// took keeps what a read returned.
-func (t *relayedTopic) took(from int64, got fetched) {
+// update keeps what a read returned.
+func (t *relayedTopic) update(from int64, got fetched) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := t.mirror.Next()
@@ -46,8 +46,8 @@
 	t.lost = false
 }
 
-// lose notes that the topic can't be read.
-func (t *relayedTopic) lose() {
+// markLost notes that the topic can't be read.
+func (t *relayedTopic) markLost() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.lost {
