--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -28,6 +28,9 @@
 	Records []Record
 	// Next is the offset to read from next.
 	Next int64
+	// End is the offset after the topic's last record at the time of the read. A batch whose
+	// Next is lower holds a part of the records only.
+	End int64
 }
 
 // maxRemoved bounds how many removed keys are kept.
@@ -139,7 +142,7 @@
 	if !m.loaded || from < m.changesFrom {
 		return Batch{}, false
 	}
-	b := Batch{Next: max(m.next, from)}
+	b := Batch{Next: max(m.next, from), End: max(m.next, from)}
 	for _, r := range m.newest {
 		if r.Offset >= from {
 			b.Records = append(b.Records, r)
@@ -151,7 +154,7 @@
 
 // Whole returns the newest record of each key that was not removed.
 func (m *Mirror) Whole() Batch {
-	b := Batch{Next: m.next}
+	b := Batch{Next: m.next, End: m.next}
 	for _, r := range m.newest {
 		if r.Value != nil {
 			b.Records = append(b.Records, r)
--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -100,7 +100,8 @@
 func (d *delivery) deny(status int, reason string) outcome {
 	d.problemAnswer(status, reportedNotRun, reason)
 	d.front.log.Info().Str("request_id", d.call.ID).Int("status", status).Str("reason", reason).
-		Str("host", d.request.Host).Int64("version", d.version()).Msg("request_denied")
+		Str("host", d.request.Host).Int64("version", d.version()).
+		Int64("configuration_age_ms", d.front.configurationAge().Milliseconds()).Msg("request_denied")
 	return outcomeDenied
 }
 
@@ -127,10 +128,8 @@
 
 // refuseUnavailable refuses a request that this front can't check or charge now.
 func (d *delivery) refuseUnavailable(reason string, after time.Duration) outcome {
-	state := d.front.configuration.Load()
-	age, _ := state.freshness.Age(d.front.now())
 	d.front.log.Info().Str("request_id", d.call.ID).Str("reason", reason).
-		Int64("version", d.version()).Int64("configuration_age_ms", age.Milliseconds()).Msg("request_refused")
+		Int64("version", d.version()).Int64("configuration_age_ms", d.front.configurationAge().Milliseconds()).Msg("request_refused")
 	return d.refuse(http.StatusServiceUnavailable, reason, after)
 }
 
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -338,6 +338,11 @@
 	table *routing.Table
 	// asOf is a moment at which it was known to be the newest version.
 	asOf time.Duration
+	// relayed, bytes and decodeTime say where the version came from, how large the batch was
+	// that held it and how long that took to decode, for logs.
+	relayed    bool
+	bytes      int
+	decodeTime time.Duration
 }
 
 func (m tableMessage) apply(c *control) {
@@ -346,6 +351,7 @@
 	if known == nil || m.table.Version > known.Version {
 		c.configuration.table = m.table
 		c.applyTable(m.table)
+		c.logTable(m)
 	}
 	c.publish()
 }
@@ -383,8 +389,15 @@
 	}
 	c.caps = caps
 	c.limiter.SetCaps(c.front.now(), caps)
+}
+
+// logTable logs a version that was put into force, and how it came.
+func (c *control) logTable(m tableMessage) {
+	t := m.table
 	c.front.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).
-		Int("accounts", len(caps)).Int("services", len(services)).Msg("configuration_in_force")
+		Int("accounts", len(t.Accounts())).Int("services", len(t.Services())).
+		Bool("relayed", m.relayed).Int("bytes", m.bytes).Int64("decode_ms", m.decodeTime.Milliseconds()).
+		Int64("proof_age_ms", (c.front.now() - m.asOf).Milliseconds()).Msg("configuration_in_force")
 }
 
 // dumpMessage asks for the state dump.
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -43,6 +43,9 @@
 	}
 	w.succeeded()
 	w.next = got.Next
+	if got.Next < got.End {
+		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("next", got.Next).Int64("end", got.End).Msg("topic_read_in_part")
+	}
 	w.front.topics[w.topic].update(from, got)
 	return got, true
 }
@@ -100,7 +103,7 @@
 	w := newFollower(f, TopicConfiguration)
 	for ctx.Err() == nil {
 		got, ok := w.read(ctx, f.config.Timing.ConfigurationWait)
-		if !ok || f.applyConfiguration(got.Batch, got.asOf) {
+		if !ok || f.applyConfiguration(got) {
 			continue
 		}
 		if got.full && len(got.Records) == 0 {
@@ -119,17 +122,21 @@
 
 // applyConfiguration passes the newest valid version of a batch on to the control
 // goroutine. It returns false if there is none.
-func (f *Front) applyConfiguration(batch mirror.Batch, asOf time.Duration) bool {
+func (f *Front) applyConfiguration(got fetchResult) bool {
 	var newest *routing.Table
-	for _, r := range batch.Records {
+	begun := f.now()
+	size := 0
+	for _, r := range got.Records {
 		table, err := f.config.Store.DecodeConfiguration(r)
 		if errors.Is(err, ErrForeignRow) {
 			continue
 		}
 		if err != nil {
 			f.log.Error().Int64("offset", r.Offset).Err(err).Msg("configuration_unusable")
+			f.metrics.unusableConfigurations.Add(f.baseContext, 1)
 			continue
 		}
+		size += len(r.Value)
 		if newest == nil || table.Version > newest.Version {
 			newest = table
 		}
@@ -137,7 +144,7 @@
 	if newest == nil {
 		return false
 	}
-	f.send(tableMessage{table: newest, asOf: asOf})
+	f.send(tableMessage{table: newest, asOf: got.asOf, relayed: got.relayed, bytes: size, decodeTime: f.now() - begun})
 	return true
 }
 
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -87,7 +87,7 @@
 	f.endpointView.Store(&endpointView{})
 	f.limits.Store(&limitView{})
 	f.heldSubjects.Store(&map[quarantine.Subject]quarantine.Holding{})
-	if err := m.observeListAge(cfg.Meter, f.listAge); err != nil {
+	if err := m.observeAges(cfg.Meter, f.listAge, f.configurationAge); err != nil {
 		return nil, err
 	}
 	if err := f.open(); err != nil {
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -18,39 +18,42 @@
 	brokenRuns, subjectChanges, heldBack     metric.Int64Counter
 	limitChanges, permits, rests             metric.Int64Counter
 	storeCalls, storeFailures, reportsUnsent metric.Int64Counter
+	unusableConfigurations                   metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
 	i := telemetry.NewInstruments(meter)
 	m := &metrics{
-		requests:       i.Counter("primrosespoke_requests", "{request}", "requests by outcome"),
-		placements:     i.Counter("primrosespoke_placements", "{request}", "requests sent to an endpoint, by how that ended"),
-		retries:        i.Counter("primrosespoke_retries", "{request}", "further sends of a request"),
-		resumes:        i.Counter("primrosespoke_resumes", "{stream}", "streams that went on at another endpoint"),
-		storeCalls:     i.Counter("primrosespoke_store_calls", "{call}", "calls that the store answered"),
-		storeFailures:  i.Counter("primrosespoke_store_failures", "{call}", "calls to the store that failed"),
-		relayReads:     i.Counter("primrosespoke_relay_reads", "{read}", "reads of the store's topics that another front answered"),
-		voidPlacements: i.Counter("primrosespoke_void_placements", "{request}", "placements that were not carried out, since the endpoint had left or the list was out of date"),
-		listVerdicts:   i.Counter("primrosespoke_endpoint_list_verdicts", "{change}", "changes of whether the list of endpoints is relied on, by the new verdict"),
-		brokenRuns:     i.Counter("primrosespoke_broken_runs", "{run}", "runs whose connection ended before the answer was complete, by whether the endpoint had ended"),
-		subjectChanges: i.Counter("primrosespoke_part_changes", "{part}", "parts of prompts and requests that were convicted or let go"),
-		heldBack:       i.Counter("primrosespoke_held_back_requests", "{request}", "requests refused since endpoints crash on them or a part of their prompt, by reason"),
-		limitChanges:   i.Counter("primrosespoke_endpoint_limit_changes", "{change}", "limits that endpoints named, changed or ended"),
-		rests:          i.Counter("primrosespoke_endpoint_rests", "{rest}", "times that an endpoint asked this front to send nothing for a time"),
-		permits:        i.Counter("primrosespoke_permits_granted", "{permit}", "permits for requests to endpoints with a limit that were granted to other entries"),
-		reportsUnsent:  i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
-		waited:         i.Seconds("primrosespoke_queue_seconds", "time from the arrival of a request to its first send"),
-		firstByte:      i.Seconds("primrosespoke_first_byte_seconds", "time from the arrival of a request to the first byte of its answer"),
-		total:          i.Seconds("primrosespoke_request_seconds", "time from the arrival of a request to its end"),
+		requests:               i.Counter("primrosespoke_requests", "{request}", "requests by outcome"),
+		placements:             i.Counter("primrosespoke_placements", "{request}", "requests sent to an endpoint, by how that ended"),
+		retries:                i.Counter("primrosespoke_retries", "{request}", "further sends of a request"),
+		resumes:                i.Counter("primrosespoke_resumes", "{stream}", "streams that went on at another endpoint"),
+		storeCalls:             i.Counter("primrosespoke_store_calls", "{call}", "calls that the store answered"),
+		storeFailures:          i.Counter("primrosespoke_store_failures", "{call}", "calls to the store that failed"),
+		relayReads:             i.Counter("primrosespoke_relay_reads", "{read}", "reads of the store's topics that another front answered"),
+		voidPlacements:         i.Counter("primrosespoke_void_placements", "{request}", "placements that were not carried out, since the endpoint had left or the list was out of date"),
+		listVerdicts:           i.Counter("primrosespoke_endpoint_list_verdicts", "{change}", "changes of whether the list of endpoints is relied on, by the new verdict"),
+		brokenRuns:             i.Counter("primrosespoke_broken_runs", "{run}", "runs whose connection ended before the answer was complete, by whether the endpoint had ended"),
+		subjectChanges:         i.Counter("primrosespoke_part_changes", "{part}", "parts of prompts and requests that were convicted or let go"),
+		heldBack:               i.Counter("primrosespoke_held_back_requests", "{request}", "requests refused since endpoints crash on them or a part of their prompt, by reason"),
+		limitChanges:           i.Counter("primrosespoke_endpoint_limit_changes", "{change}", "limits that endpoints named, changed or ended"),
+		rests:                  i.Counter("primrosespoke_endpoint_rests", "{rest}", "times that an endpoint asked this front to send nothing for a time"),
+		permits:                i.Counter("primrosespoke_permits_granted", "{permit}", "permits for requests to endpoints with a limit that were granted to other entries"),
+		unusableConfigurations: i.Counter("primrosespoke_unusable_configurations", "{version}", "versions of the configuration that could not be decoded"),
+		reportsUnsent:          i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
+		waited:                 i.Seconds("primrosespoke_queue_seconds", "time from the arrival of a request to its first send"),
+		firstByte:              i.Seconds("primrosespoke_first_byte_seconds", "time from the arrival of a request to the first byte of its answer"),
+		total:                  i.Seconds("primrosespoke_request_seconds", "time from the arrival of a request to its end"),
 	}
 	return m, i.Err()
 }
 
-// observeListAge registers the gauge of the age of the endpoint list.
-func (m *metrics) observeListAge(meter metric.Meter, age func() time.Duration) error {
+// observeAges registers the gauges of the age of the endpoint list and of the configuration.
+func (m *metrics) observeAges(meter metric.Meter, list, configuration func() time.Duration) error {
 	i := telemetry.NewInstruments(meter)
-	i.ObserveSeconds("primrosespoke_endpoint_list_age_seconds", "time since the list of endpoints was known to be complete", age)
+	i.ObserveSeconds("primrosespoke_endpoint_list_age_seconds", "time since the list of endpoints was known to be complete", list)
+	i.ObserveSeconds("primrosespoke_configuration_age_seconds", "time since the configuration was known to be the newest", configuration)
 	return i.Err()
 }
 
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -43,6 +44,13 @@
 	return ""
 }
 
+// configurationAge returns how long ago the configuration was known to be the newest; 0 if it
+// never was.
+func (f *Front) configurationAge() time.Duration {
+	age, _ := f.configuration.Load().freshness.Age(f.now())
+	return age
+}
+
 // isFresh reports whether the configuration is recent enough for its keys to be trusted.
 func (f *Front) isFresh(state *configurationState) bool {
 	age, known := state.freshness.Age(f.now())
