front: a configuration older than the bound neither denies nor sends requests

What callers saw: refused with 404 by a configuration up to 4.5 s old, where a version must be in force within 3 s (2 s elsewhere).

Cause: the age of the configuration was compared with one bound, the time for which keys are trusted. Nothing compared it with the time within which a version must be in force, and a public route was served by an old version without limit.

Change: apply_within, filled in from the platform's bound. Beyond 0.9 of it requests wait for a newer proof for 0.15 of it and then get 503 with a time to come back. Where no front can read the store, requests that the old version allows go on; denials never rest on it. As with the list of endpoints, reports carry the age, the store is read at half of the bound without waiting for other fronts, and a front that can't read it asks two that can. A poll waits for half of the bound at most.

TestChangeReachesFrontsWhileStoreReadersAreCutOff expected that a front that is cut off from the store becomes unready. It now gets the change from the others. The test asks instead that all fronts, cut off or not, have the change in 2 s and deny the removed key, and that all refuse once nobody can read.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -149,7 +149,7 @@
 // stillAllowed checks the request against the current configuration once more before it
 // is sent: it may have waited in the queue, and the process may have been suspended.
 func (d *delivery) stillAllowed() (attemptResult, bool) {
-	admission, refusal, reason := d.check()
+	admission, refusal, reason := d.awaitCheck()
 	same := reason == "" && refusal == routing.Allowed && d.sameAccount(admission)
 	switch {
 	case same && (d.streamStarted || admission.Version == d.admission.Version):
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -46,6 +46,9 @@
 	// MaxConfigurationAge is how long keys are trusted after the moment at which the
 	// configuration was last known to be the newest; 0 = without limit.
 	MaxConfigurationAge time.Duration
+	// ApplyWithin is how long after its confirmation a version of the configuration may not yet
+	// be in force here.
+	ApplyWithin time.Duration
 	// StopTimeout bounds the time from the stop signal to the end of the process.
 	StopTimeout time.Duration
 	// RetryRatio and RetryBurst bound the further sends of requests to each service, by
@@ -97,8 +100,8 @@
 }
 
 const (
-	defaultConfigurationWait = 1800 * time.Millisecond
 	defaultLeaveWithin       = 2 * time.Second
+	defaultApplyWithin       = 2 * time.Second
 	defaultMemberInterval    = 4 * time.Second
 	defaultMemberTTL         = 11 * time.Second
 	defaultReportInterval    = 20 * time.Millisecond
@@ -136,15 +139,24 @@
 	listWaitShare = 0.15
 	// outageGapShare is the time without a read of the list from which on rows may have
 	// expired in an outage, as a share of Config.LeaveWithin. It exceeds the time between two
-	// reads, also where one of them is late.
+	// reads, also where one of them is late. For the configuration it is a share of
+	// Config.ApplyWithin.
 	outageGapShare = 0.6
+	// configurationMaxAgeShare is the age of the configuration up to which requests are denied
+	// or sent by it, as a share of Config.ApplyWithin.
+	configurationMaxAgeShare = 0.9
+	// configurationRefreshShare is the age at which a front stops waiting for other fronts'
+	// copies of the configuration and reads the store, as a share of Config.ApplyWithin.
+	configurationRefreshShare = 0.5
+	// configurationWaitShare is how long a request waits for a configuration that is out of
+	// date before it is refused, as a share of Config.ApplyWithin.
+	configurationWaitShare = 0.15
 	// retryCapLevel is the level to which a cap must have refilled before a refused request
 	// is to be retried, in seconds of the cap's rate.
 	retryCapLevel = 0.2
 )
 
 func (t Timing) withDefaults() Timing {
-	setDefault(&t.ConfigurationWait, defaultConfigurationWait)
 	setDefault(&t.MemberInterval, defaultMemberInterval)
 	setDefault(&t.MemberTTL, defaultMemberTTL)
 	setDefault(&t.ReportInterval, defaultReportInterval)
@@ -170,6 +182,8 @@
 func (c Config) withDefaults() Config {
 	c.Timing = c.Timing.withDefaults()
 	setDefault(&c.LeaveWithin, defaultLeaveWithin)
+	setDefault(&c.ApplyWithin, defaultApplyWithin)
+	setDefault(&c.Timing.ConfigurationWait, shareOf(c.ApplyWithin, configurationRefreshShare))
 	setDefault(&c.Timing.EndpointInterval, shareOf(c.LeaveWithin, listIntervalShare))
 	setDefault(&c.Scheduler.ReportTTL, scheduler.DefaultReportTTL)
 	setDefault(&c.Scheduler.RefuseMargin, scheduler.DefaultRefuseMargin)
--- /dev/null
+++ b/daemon/front/config_age.go
@@ -0,0 +1,130 @@
+package front
+
+import (
+	"time"
+
+	"primrosespoke.dev/coord/routing"
+	"primrosespoke.dev/coord/staleness"
+)
+
+// reasonConfigurationOld is why a request is neither denied nor sent by the configuration.
+const reasonConfigurationOld = "configuration out of date"
+
+// configurationState is the configuration that requests are checked against. The control
+// goroutine publishes it as one immutable copy.
+type configurationState struct {
+	table     *routing.Table
+	freshness routing.Freshness
+	// storeOut is set if requests may be sent by the configuration whatever its age, since no
+	// entry can read a newer one.
+	storeOut bool
+	// replaced is closed when a later state is published.
+	replaced chan struct{}
+}
+
+func (f *Front) configurationAgeLimit() time.Duration {
+	return shareOf(f.config.ApplyWithin, configurationMaxAgeShare)
+}
+
+func (f *Front) configurationRefreshAge() time.Duration {
+	return shareOf(f.config.ApplyWithin, configurationRefreshShare)
+}
+
+func (f *Front) maxConfigurationWait() time.Duration {
+	return shareOf(f.config.ApplyWithin, configurationWaitShare)
+}
+
+// configurationAge returns how long ago the configuration was known to be the newest; 0 if it
+// never was.
+func (f *Front) configurationAge() time.Duration {
+	age, _ := f.configuration.Load().freshness.Age(f.now())
+	return age
+}
+
+// configurationOutOfDate reports whether a newer version may have come into force elsewhere.
+func (f *Front) configurationOutOfDate(state *configurationState) bool {
+	age, known := state.freshness.Age(f.now())
+	return !known || age > f.configurationAgeLimit()
+}
+
+// keysTrusted reports whether the configuration is recent enough for its keys to be trusted.
+func (f *Front) keysTrusted(state *configurationState) bool {
+	age, known := state.freshness.Age(f.now())
+	return f.config.MaxConfigurationAge == 0 || known && age < f.config.MaxConfigurationAge
+}
+
+// check looks up the request's route and account in the current configuration. It returns a
+// reason to refuse the request for now if there is none, or if it is too old for what it says:
+// that there is no such route or key holds only while it is recent.
+func (d *delivery) check(state *configurationState) (routing.Admission, routing.Refusal, string) {
+	if state.table == nil {
+		return routing.Admission{}, routing.NoRoute, "no configuration known"
+	}
+	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key)
+	allowed := refusal == routing.Allowed
+	if d.front.configurationOutOfDate(state) && !(allowed && state.storeOut) {
+		return admission, refusal, reasonConfigurationOld
+	}
+	if !(allowed && admission.Route.Public) && !d.front.keysTrusted(state) {
+		return admission, refusal, "configuration not known to be the newest"
+	}
+	return admission, refusal, ""
+}
+
+// awaitCheck checks the request against the configuration. If that is out of date, it waits for
+// a more recent one, at most for maxConfigurationWait.
+func (d *delivery) awaitCheck() (routing.Admission, routing.Refusal, string) {
+	var expired <-chan time.Time
+	for {
+		state := d.front.configuration.Load()
+		admission, refusal, reason := d.check(state)
+		if reason != reasonConfigurationOld {
+			return admission, refusal, reason
+		}
+		if expired == nil {
+			timer := time.NewTimer(d.front.maxConfigurationWait())
+			defer timer.Stop()
+			expired = timer.C
+		}
+		select {
+		case <-state.replaced:
+			continue
+		case <-expired:
+		case <-d.requestContext.Done():
+		case <-d.front.stopped:
+		}
+		return admission, refusal, reason
+	}
+}
+
+// publish makes a copy of the configuration visible to the request goroutines.
+func (c *control) publish() {
+	state := c.configuration
+	state.storeOut = c.configurationVerdict == staleness.SourceOut
+	state.replaced = make(chan struct{})
+	if before := c.front.configuration.Swap(&state); before.replaced != nil {
+		close(before.replaced)
+	}
+}
+
+// assessConfiguration decides whether requests may be sent by an old configuration, and logs
+// when that changes.
+func (c *control) assessConfiguration(now time.Duration) {
+	verdict, readBy := c.configurationSource.Assess(now)
+	if verdict == c.configurationVerdict {
+		return
+	}
+	age, _ := c.configurationSource.Age(now)
+	c.front.log.Info().Str("verdict", verdictNames[verdict]).Str("before", verdictNames[c.configurationVerdict]).
+		Int64("configuration_age_ms", age.Milliseconds()).Str("read_by", readBy).Msg("configuration_assessed")
+	c.configurationVerdict = verdict
+	c.front.metrics.configurationAssessed(verdictNames[verdict])
+	c.publish()
+}
+
+// confirmConfiguration records a time at which the newest version was known.
+func (c *control) confirmConfiguration(asOf time.Duration) {
+	c.configuration.freshness.Confirm(asOf)
+	c.configurationSource.Confirm(asOf)
+	c.assessConfiguration(c.front.now())
+}
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -23,38 +23,33 @@
 	apply(c *control)
 }
 
-// configurationState is the configuration that requests are checked against. The
-// control goroutine publishes table and freshness together, as one immutable copy.
-type configurationState struct {
-	table     *routing.Table
-	freshness routing.Freshness
-}
-
 // control is the state of a front; one goroutine owns it.
 type control struct {
-	front         *Front
-	scheduler     *scheduler.Scheduler
-	directory     *directory.Directory
-	list          *staleness.Monitor       // of the directory's source
-	usable        map[string]string        // addresses of the endpoints that may get requests, by ID; not changed after it is published
-	listVerdict   staleness.Verdict        // as last logged
-	listSince     time.Duration            // when listVerdict began
-	limiter       *allowance.Limiter       // of usage caps
-	budgets       map[string]*retry.Budget // by service
-	rng           *rand.Rand
-	configuration configurationState
-	undecided     map[uint64]chan<- decision   // where queued requests wait, by request ID
-	cancelable    map[uint64]cancelableAttempt // by request ID
-	members       *members
-	reporting     reportSchedule
-	quarantine    *quarantine.Quarantine // of parts of prompts, and of requests
-	held          []heldRequest          // that wait for another request with a suspected subject
-	heldVersion   uint64                 // of the quarantine, as last published
-	sendLimits    *sendlimit.Limiter     // of requests to endpoints that name a limit
-	born          map[string]int64       // incarnations of the endpoints, by ID
-	startedAt     time.Duration
-	lastExpiry    time.Duration            // when expired rows and members were last removed
-	caps          map[string]allowance.Cap // by account
+	front                *Front
+	scheduler            *scheduler.Scheduler
+	directory            *directory.Directory
+	list                 *staleness.Monitor       // of the directory's source
+	usable               map[string]string        // addresses of the endpoints that may get requests, by ID; not changed after it is published
+	listVerdict          staleness.Verdict        // as last logged
+	listSince            time.Duration            // when listVerdict began
+	limiter              *allowance.Limiter       // of usage caps
+	budgets              map[string]*retry.Budget // by service
+	rng                  *rand.Rand
+	configuration        configurationState
+	configurationSource  *staleness.Monitor           // of the configuration
+	configurationVerdict staleness.Verdict            // as last logged
+	undecided            map[uint64]chan<- decision   // where queued requests wait, by request ID
+	cancelable           map[uint64]cancelableAttempt // by request ID
+	members              *members
+	reporting            reportSchedule
+	quarantine           *quarantine.Quarantine // of parts of prompts, and of requests
+	held                 []heldRequest          // that wait for another request with a suspected subject
+	heldVersion          uint64                 // of the quarantine, as last published
+	sendLimits           *sendlimit.Limiter     // of requests to endpoints that name a limit
+	born                 map[string]int64       // incarnations of the endpoints, by ID
+	startedAt            time.Duration
+	lastExpiry           time.Duration            // when expired rows and members were last removed
+	caps                 map[string]allowance.Cap // by account
 }
 
 func newControl(f *Front) *control {
@@ -66,6 +61,9 @@
 		list: staleness.New(staleness.Config{
 			MaxAge: f.maxListAge(), OutageGap: shareOf(f.config.LeaveWithin, outageGapShare),
 		}),
+		configurationSource: staleness.New(staleness.Config{
+			MaxAge: f.configurationAgeLimit(), OutageGap: shareOf(f.config.ApplyWithin, outageGapShare),
+		}),
 		limiter: allowance.New(allowance.Config{
 			PeerTimeout: capPeerTimeout, ExtraBurst: usedCapSlackShare * f.config.CapSlack, InitialFill: initialCapFill, RetryLevel: retryCapLevel,
 		}),
@@ -128,6 +126,7 @@
 		c.updateFallbacks(now)
 		c.subjectsChanged(c.quarantine.Expire(now))
 	}
+	c.assessConfiguration(now)
 	c.reviewHeld()
 	c.plan()
 	c.sendReports(now)
@@ -346,7 +345,7 @@
 }
 
 func (m tableMessage) apply(c *control) {
-	c.configuration.freshness.Confirm(m.asOf)
+	c.confirmConfiguration(m.asOf)
 	known := c.configuration.table
 	if known == nil || m.table.Version > known.Version {
 		c.configuration.table = m.table
@@ -360,16 +359,10 @@
 type tableCurrentMessage struct{ asOf time.Duration }
 
 func (m tableCurrentMessage) apply(c *control) {
-	c.configuration.freshness.Confirm(m.asOf)
+	c.confirmConfiguration(m.asOf)
 	c.publish()
 }
 
-// publish makes a copy of the configuration visible to the request goroutines.
-func (c *control) publish() {
-	state := c.configuration
-	c.front.configuration.Store(&state)
-}
-
 // applyTable passes the services and usage caps of a new version on to the scheduler and
 // the limiter.
 func (c *control) applyTable(t *routing.Table) {
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/staleness"
 )
 
 // rowsMessage delivers rows of the list of endpoints.
@@ -97,11 +98,28 @@
 	c.publishEndpoints(now)
 }
 
-// listReadFailedMessage reports that a read of the list from the store failed.
-type listReadFailedMessage struct{ sentAt time.Duration }
+// readFailedMessage reports that a read of the list of endpoints or of the configuration from
+// the store failed.
+type readFailedMessage struct {
+	topic  Topic
+	sentAt time.Duration
+}
 
-func (m listReadFailedMessage) apply(c *control) {
-	c.list.Failed(m.sentAt)
+func (m readFailedMessage) apply(c *control) {
+	if source := c.source(m.topic); source != nil {
+		source.Failed(m.sentAt)
+	}
+}
+
+// source returns the monitor of a topic's source, or nil.
+func (c *control) source(topic Topic) *staleness.Monitor {
+	switch topic {
+	case TopicEndpoints:
+		return c.list
+	case TopicConfiguration:
+		return c.configurationSource
+	}
+	return nil
 }
 
 // applyRow updates the directory by one row and logs the change.
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -139,7 +139,7 @@
 
 // admit checks the request against the configuration and selects its service.
 func (d *delivery) admit() outcome {
-	admission, refusal, reason := d.check()
+	admission, refusal, reason := d.awaitCheck()
 	switch {
 	case reason != "":
 		return d.refuseUnavailable(reason, staleRetryAfter)
@@ -163,22 +163,6 @@
 // configuration is unknown or may be out of date.
 const staleRetryAfter = 500 * time.Millisecond
 
-// check looks up the request's route and account in the current configuration. If there
-// is none, or if it may be out of date and the route is not public, it returns a reason
-// to refuse the request for now.
-func (d *delivery) check() (routing.Admission, routing.Refusal, string) {
-	state := d.front.configuration.Load()
-	if state.table == nil {
-		return routing.Admission{}, routing.NoRoute, "no configuration known"
-	}
-	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key)
-	public := refusal == routing.Allowed && admission.Route.Public
-	if !public && !d.front.isFresh(state) {
-		return routing.Admission{}, refusal, "configuration not known to be the newest"
-	}
-	return admission, refusal, ""
-}
-
 // defaultTimeLimit applies to a request without a deadline on a route without a timeout.
 const defaultTimeLimit = time.Minute
 
--- a/daemon/front/list.go
+++ b/daemon/front/list.go
@@ -73,16 +73,18 @@
 // maxFallbacks is how many other entries are asked for a topic if the store can't be read.
 const maxFallbacks = 2
 
-// updateFallbacks names the entries with the most recent lists, which are asked if the store
-// can't be read.
+// updateFallbacks names the entries with the most recent copies of a topic, which are asked if
+// the store can't be read.
 func (c *control) updateFallbacks(now time.Duration) {
-	var addresses []string
-	for _, name := range c.list.Freshest(now, c.front.listRefreshAge(), maxFallbacks) {
-		if s := c.members.all[name]; s != nil {
-			addresses = append(addresses, s.Address)
+	for _, topic := range []Topic{TopicEndpoints, TopicConfiguration} {
+		var addresses []string
+		for _, name := range c.source(topic).Freshest(now, c.front.refreshAge(topic), maxFallbacks) {
+			if s := c.members.all[name]; s != nil {
+				addresses = append(addresses, s.Address)
+			}
 		}
+		c.front.relay.setFallbacks(topic, addresses)
 	}
-	c.front.relay.setFallbacks(addresses)
 }
 
 // assessList decides whether requests may be placed by the list of endpoints, and logs when
@@ -93,16 +95,16 @@
 		return verdict
 	}
 	age, _ := c.list.Age(now)
-	c.front.log.Info().Str("verdict", listVerdictNames[verdict]).Str("before", listVerdictNames[c.listVerdict]).
+	c.front.log.Info().Str("verdict", verdictNames[verdict]).Str("before", verdictNames[c.listVerdict]).
 		Int64("list_age_ms", age.Milliseconds()).Int64("before_for_ms", (now-c.listSince).Milliseconds()).Str("read_by", readBy).
 		Msg("endpoint_list_assessed")
 	c.listVerdict, c.listSince = verdict, now
-	c.front.metrics.listAssessed(listVerdictNames[verdict])
+	c.front.metrics.listAssessed(verdictNames[verdict])
 	c.publishEndpoints(now)
 	return verdict
 }
 
-// listVerdictNames are the values of the log field verdict.
-var listVerdictNames = map[staleness.Verdict]string{
+// verdictNames are the values of the log field verdict.
+var verdictNames = map[staleness.Verdict]string{
 	staleness.Reliable: "reliable", staleness.SourceOut: "store_out", staleness.Unreliable: "unreliable",
 }
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -171,7 +171,9 @@
 	names := c.members.names()
 	c.limiter.SetPeers(now, names)
 	c.scheduler.SetEntries(c.front.config.ID, names)
-	c.list.RetainPeers(func(name string) bool { return c.members.all[name] != nil })
+	for _, topic := range []Topic{TopicEndpoints, TopicConfiguration} {
+		c.source(topic).RetainPeers(func(name string) bool { return c.members.all[name] != nil })
+	}
 	c.reporting.group = c.scheduler.Group()
 	for _, b := range c.budgets {
 		b.Resize(c.retryBurst())
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -19,6 +19,7 @@
 	limitChanges, permits, rests             metric.Int64Counter
 	storeCalls, storeFailures, reportsUnsent metric.Int64Counter
 	unusableConfigurations                   metric.Int64Counter
+	configurationVerdicts                    metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
 }
 
@@ -40,6 +41,7 @@
 		limitChanges:           i.Counter("primrosespoke_endpoint_limit_changes", "{change}", "limits that endpoints named, changed or ended"),
 		rests:                  i.Counter("primrosespoke_endpoint_rests", "{rest}", "times that an endpoint asked this front to send nothing for a time"),
 		permits:                i.Counter("primrosespoke_permits_granted", "{permit}", "permits for requests to endpoints with a limit that were granted to other entries"),
+		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
 		unusableConfigurations: i.Counter("primrosespoke_unusable_configurations", "{version}", "versions of the configuration that could not be decoded"),
 		reportsUnsent:          i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
 		waited:                 i.Seconds("primrosespoke_queue_seconds", "time from the arrival of a request to its first send"),
@@ -74,6 +76,11 @@
 	m.listVerdicts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict)))
 }
 
+// configurationAssessed counts a change of the verdict on the configuration.
+func (m *metrics) configurationAssessed(verdict string) {
+	m.configurationVerdicts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict)))
+}
+
 // runBroken counts a run whose connection ended before the answer was complete.
 func (m *metrics) runBroken(endpointEnded bool) {
 	m.brokenRuns.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("endpoint_ended", endpointEnded)))
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -36,7 +35,9 @@
 		return "stopping"
 	case state.table == nil:
 		return "no configuration known"
-	case !f.isFresh(state):
+	case f.configurationOutOfDate(state) && !state.storeOut:
+		return reasonConfigurationOld
+	case !f.keysTrusted(state):
 		return "configuration not known to be the newest"
 	case f.listOutOfDate():
 		return reasonListOld
@@ -44,19 +45,6 @@
 	return ""
 }
 
-// configurationAge returns how long ago the configuration was known to be the newest; 0 if it
-// never was.
-func (f *Front) configurationAge() time.Duration {
-	age, _ := f.configuration.Load().freshness.Age(f.now())
-	return age
-}
-
-// isFresh reports whether the configuration is recent enough for its keys to be trusted.
-func (f *Front) isFresh(state *configurationState) bool {
-	age, known := state.freshness.Age(f.now())
-	return f.config.MaxConfigurationAge == 0 || known && age < f.config.MaxConfigurationAge
-}
-
 // operatorHandler serves the metrics page and the state dump.
 func (f *Front) operatorHandler() http.Handler {
 	e := echo.New()
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -28,8 +28,8 @@
 	// read waits for a change.
 	relayReadTimeout = 250 * time.Millisecond
 	// maxRelayLag, added to the time between two reads of the topic, is the maximum age of
-	// records that are accepted from another front, except for the list of endpoints: a front
-	// that loses contact with the store goes on serving outdated records at first.
+	// the list of entries that is accepted from another front: a front that loses contact with
+	// the store goes on serving outdated records at first.
 	maxRelayLag = 700 * time.Millisecond
 	// relayExclusion is how long a front is not asked after a read of it failed.
 	relayExclusion = 2 * time.Second
@@ -65,12 +65,12 @@
 
 	mu                 sync.Mutex
 	excludedUntil      map[string]time.Duration // by address of a parent whose read failed
-	fallbacks          []string                 // addresses of other fronts with recent lists
+	fallbacks          map[Topic][]string       // addresses of other fronts with recent copies of a topic
 	storeExcludedUntil time.Duration            // after a failed read of the store
 }
 
 func newRelayClient() *relayClient {
-	r := &relayClient{client: node.NewClient(), excludedUntil: map[string]time.Duration{}}
+	r := &relayClient{client: node.NewClient(), excludedUntil: map[string]time.Duration{}, fallbacks: map[Topic][]string{}}
 	r.position.Store(&relayPosition{readsStore: true, allReadStore: true})
 	return r
 }
@@ -116,11 +116,11 @@
 	r.excludedUntil[address] = until
 }
 
-// setFallbacks sets the fronts that are asked if the store can't be read.
-func (r *relayClient) setFallbacks(addresses []string) {
+// setFallbacks sets the fronts that are asked for a topic if the store can't be read.
+func (r *relayClient) setFallbacks(topic Topic, addresses []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fallbacks = addresses
+	r.fallbacks[topic] = addresses
 }
 
 // excludeStore prefers other fronts to the store until a moment.
@@ -130,12 +130,12 @@
 	r.storeExcludedUntil = until
 }
 
-// sourcesAt returns the fronts to ask if the store can't be read, and whether they are to be
-// asked before the store.
-func (r *relayClient) sourcesAt(now time.Duration) (fallbacks []string, storeExcluded bool) {
+// sourcesAt returns the fronts to ask for a topic if the store can't be read, and whether they
+// are to be asked before the store.
+func (r *relayClient) sourcesAt(now time.Duration, topic Topic) (fallbacks []string, storeExcluded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.notExcluded(now, r.fallbacks), now < r.storeExcludedUntil
+	return r.notExcluded(now, r.fallbacks[topic]), now < r.storeExcludedUntil
 }
 
 // setPosition sets the front's position in the tree. It reports whether the position changed.
@@ -160,8 +160,8 @@
 }
 
 // fetch reads a topic from an offset on; -1 = the newest record of each key. It reads
-// from the first parent that answers, or else from the store. The list of endpoints is
-// read from other fronts with a recent one if the store can't be read.
+// from the first parent that answers, or else from the store. The list of endpoints and the
+// configuration are read from other fronts with recent ones if the store can't be read.
 func (f *Front) fetch(ctx context.Context, topic Topic, from int64, wait time.Duration) (fetchResult, error) {
 	got, ok := f.fetchFrom(ctx, f.relay.usableParents(f.now()), topic, from, wait)
 	if ok {
@@ -170,17 +170,16 @@
 	if ctx.Err() != nil {
 		return fetchResult{}, ctx.Err()
 	}
-	if topic == TopicEndpoints {
-		return f.fetchList(ctx, from, wait)
+	if topic == TopicMembers {
+		return f.fetchStored(ctx, topic, from, wait)
 	}
-	return f.fetchStored(ctx, topic, from, wait)
+	return f.fetchWithFallbacks(ctx, topic, from, wait)
 }
 
-// fetchList reads the list of endpoints from the store, or from other fronts if the store
-// can't be read. After a failed read of the store they are asked first for a time.
-func (f *Front) fetchList(ctx context.Context, from int64, wait time.Duration) (fetchResult, error) {
-	const topic = TopicEndpoints
-	fallbacks, storeExcluded := f.relay.sourcesAt(f.now())
+// fetchWithFallbacks reads a topic from the store, or from other fronts if the store can't be
+// read. After a failed read of the store they are asked first for a time.
+func (f *Front) fetchWithFallbacks(ctx context.Context, topic Topic, from int64, wait time.Duration) (fetchResult, error) {
+	fallbacks, storeExcluded := f.relay.sourcesAt(f.now(), topic)
 	if storeExcluded {
 		if got, ok := f.fetchFrom(ctx, fallbacks, topic, from, wait); ok {
 			return got, nil
@@ -226,18 +225,33 @@
 
 // patience returns how long other fronts may be waited for before the store is read.
 func (f *Front) patience(topic Topic) time.Duration {
-	if topic == TopicEndpoints {
-		return f.listRefreshAge() - f.listAge()
+	switch topic {
+	case TopicEndpoints:
+		return f.refreshAge(topic) - f.listAge()
+	case TopicConfiguration:
+		return f.refreshAge(topic) - f.configurationAge()
 	}
 	return relayWait + relayReadTimeout
 }
 
+// refreshAge returns the age of the list of endpoints or of the configuration at which the
+// store is read.
+func (f *Front) refreshAge(topic Topic) time.Duration {
+	if topic == TopicConfiguration {
+		return f.configurationRefreshAge()
+	}
+	return f.listRefreshAge()
+}
+
 // relayWait returns how long a read of another front waits for a change. A read of the list
-// of endpoints waits for the other front's next read, which shows that the list is complete
-// also where it did not change.
+// of endpoints or of the configuration waits for the other front's next read, which shows that
+// the records are complete also where they did not change.
 func (f *Front) relayWait(topic Topic) time.Duration {
-	if topic == TopicEndpoints {
+	switch topic {
+	case TopicEndpoints:
 		return f.config.Timing.EndpointInterval + relayReadTimeout
+	case TopicConfiguration:
+		return storeReaderWait + relayReadTimeout
 	}
 	return relayWait
 }
@@ -259,8 +273,9 @@
 		batch, err = f.read(ctx, topic, from, wait)
 	}
 	if err != nil {
-		if topic == TopicEndpoints && !errors.Is(err, ErrTrimmed) && ctx.Err() == nil {
-			f.send(listReadFailedMessage{sentAt: sentAt})
+		if !errors.Is(err, ErrTrimmed) && ctx.Err() == nil {
+			// A read that waits for a change shows nothing about the store while it waits.
+			f.send(readFailedMessage{topic: topic, sentAt: min(f.now(), sentAt+wait)})
 		}
 		return fetchResult{}, err
 	}
@@ -299,7 +314,7 @@
 	for inProgress := 1; ; {
 		select {
 		case <-hedge.C:
-			f.send(listReadFailedMessage{sentAt: first})
+			f.send(readFailedMessage{topic: TopicEndpoints, sentAt: first})
 			inProgress++
 			go read()
 		case o := <-outcomes:
@@ -317,13 +332,10 @@
 // exceeds the time between two reads by a front that reads the store, so that these need
 // not be read by all.
 func (f *Front) maxRelayedAge(topic Topic) time.Duration {
-	switch topic {
-	case TopicEndpoints:
-		return f.listRefreshAge()
-	case TopicMembers:
+	if topic == TopicMembers {
 		return f.config.Timing.MemberInterval + maxRelayLag
 	}
-	return storeReaderWait + maxRelayLag
+	return f.refreshAge(topic)
 }
 
 // fetchRelayed reads a topic from another front, which waits for a change for the time wait.
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -35,19 +35,20 @@
 // report is what entries send each other, often and without acknowledgement. It holds
 // current state and no changes, so the next report makes up for a lost one.
 type report struct {
-	From        string             `cbor:"1,keyasint"`
-	Address     string             `cbor:"2,keyasint"`
-	Incarnation string             `cbor:"3,keyasint"`
-	Sequence    uint64             `cbor:"4,keyasint"`
-	Loads       map[string][2]int  `cbor:"5,keyasint,omitempty"`  // running requests and prompt tokens, by endpoint ID
-	Demand      map[string]int     `cbor:"6,keyasint,omitempty"`  // requests in progress and waiting, by service
-	Usage       map[string]float64 `cbor:"7,keyasint,omitempty"`  // admitted since the entry's start, by account
-	Levels      map[string]float64 `cbor:"8,keyasint,omitempty"`  // what is left of the usage caps, by account
-	IntervalMS  int64              `cbor:"9,keyasint"`            // time to the next full report
-	Full        bool               `cbor:"10,keyasint,omitempty"` // it goes to all entries and carries usage
-	Subjects    []subjectEvidence  `cbor:"12,keyasint,omitempty"` // evidence about parts of prompts and requests, in full reports
-	Limits      []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
-	ListMS      []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
+	From            string             `cbor:"1,keyasint"`
+	Address         string             `cbor:"2,keyasint"`
+	Incarnation     string             `cbor:"3,keyasint"`
+	Sequence        uint64             `cbor:"4,keyasint"`
+	Loads           map[string][2]int  `cbor:"5,keyasint,omitempty"`  // running requests and prompt tokens, by endpoint ID
+	Demand          map[string]int     `cbor:"6,keyasint,omitempty"`  // requests in progress and waiting, by service
+	Usage           map[string]float64 `cbor:"7,keyasint,omitempty"`  // admitted since the entry's start, by account
+	Levels          map[string]float64 `cbor:"8,keyasint,omitempty"`  // what is left of the usage caps, by account
+	IntervalMS      int64              `cbor:"9,keyasint"`            // time to the next full report
+	Full            bool               `cbor:"10,keyasint,omitempty"` // it goes to all entries and carries usage
+	Subjects        []subjectEvidence  `cbor:"12,keyasint,omitempty"` // evidence about parts of prompts and requests, in full reports
+	Limits          []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
+	ListMS          []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
+	ConfigurationMS []int64            `cbor:"14,keyasint,omitempty"` // the same of the configuration
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -96,16 +97,22 @@
 	for id, l := range own.Loads {
 		loads[id] = [2]int{l.Running, l.PromptTokens}
 	}
-	var list []int64
-	if l, known := c.list.Report(now); known {
-		list = []int64{l.Age.Milliseconds(), l.Steady.Milliseconds()}
-	}
 	c.reporting.sequence++
 	return report{
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
 		Loads: loads, Demand: own.Demand, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
-		ListMS: list, Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)),
+		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)),
+	}
+}
+
+// encodeAges returns the age of what a monitor follows, and how long it was read steadily;
+// empty = never read.
+func encodeAges(m *staleness.Monitor, now time.Duration) []int64 {
+	r, known := m.Report(now)
+	if !known {
+		return nil
 	}
+	return []int64{r.Age.Milliseconds(), r.Steady.Milliseconds()}
 }
 
 // fullReport returns a report that also carries usage.
@@ -244,6 +251,11 @@
 		})
 		c.reviewOutage()
 	}
+	if len(r.ConfigurationMS) == 2 {
+		c.configurationSource.SetPeer(now, r.From, staleness.Report{
+			Age: age(r.ConfigurationMS[0]), Steady: age(r.ConfigurationMS[1]),
+		})
+	}
 	if len(r.Subjects) > 0 {
 		c.subjectsChanged(c.quarantine.Merge(now, decodeEvidence(r.Subjects)))
 	}
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -57,7 +57,7 @@
 		Log: log, Meter: metrics.Meter, Metrics: metrics.Handler, Seed: time.Now().UnixNano(),
 		MaxConfigurationAge: time.Duration(keyTrustFraction * float64(s.Front.TrustKeysFor)),
 		StopTimeout:         s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
-		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin,
+		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
 	})
 	if err != nil {
 		log.Error().Err(err).Msg("not_started")
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -77,6 +77,7 @@
 	Operators    string        `yaml:"operators" doc:"listener for metrics and the state dump; none where it is not given" check:"optional address"`
 	Store        string        `yaml:"store" doc:"address of the platform's store" check:"address"`
 	TrustKeysFor time.Duration `yaml:"trust_keys_for" default:"0s" unit:"duration" doc:"how long after the newest configuration was known for certain keys are trusted; 0 = for ever" check:"min 0s"`
+	ApplyWithin  time.Duration `yaml:"apply_within" default:"2s" unit:"duration" doc:"how long after its confirmation a version of the configuration may not yet be in force" check:"min 100ms"`
 	LeaveWithin  time.Duration `yaml:"leave_within" default:"2s" unit:"duration" doc:"how long after an endpoint was listed as leaving it may still get new work" check:"min 100ms"`
 	StopWithin   time.Duration `yaml:"stop_within" default:"8s" unit:"duration" doc:"time from a signal to the end of the process" check:"min 1s"`
 	RetryRatio   float64       `yaml:"retry_ratio" default:"0.2" unit:"sends a request" doc:"further sends that all entries together may make, by service" check:"min 0"`
