front, platform: a read of the store ends for lack of progress, not for its length

Cause: each read had 0.7 s beyond its wait for everything, body included. One that needs longer on its link is broken off and starts anew, each time with the same end.

Change: the limits are the time to the first byte, the time between two bytes, and 15 s in all. Since a silent connection would now hold a poll longer, a read of the configuration is hedged as that of the list is: a second one is sent where no byte came. What has begun to arrive is not read twice.

--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -100,18 +100,18 @@
 }
 
 const (
-	defaultLeaveWithin       = 2 * time.Second
-	defaultApplyWithin       = 2 * time.Second
-	defaultMemberInterval    = 4 * time.Second
-	defaultMemberTTL         = 11 * time.Second
-	defaultReportInterval    = 20 * time.Millisecond
-	defaultReportPerMember   = 5 * time.Millisecond
-	defaultCallTimeout       = 700 * time.Millisecond
-	defaultStoreRetry        = 250 * time.Millisecond
-	defaultTickInterval      = 10 * time.Millisecond
-	defaultDrainDelay        = 2500 * time.Millisecond // the platform's load balancer checks once a second and needs two failures
-	defaultReregisterTime    = 2500 * time.Millisecond // live endpoints register again within two seconds
-	defaultMaxBodyBytes      = 4 << 20
+	defaultLeaveWithin     = 2 * time.Second
+	defaultApplyWithin     = 2 * time.Second
+	defaultMemberInterval  = 4 * time.Second
+	defaultMemberTTL       = 11 * time.Second
+	defaultReportInterval  = 20 * time.Millisecond
+	defaultReportPerMember = 5 * time.Millisecond
+	defaultCallTimeout     = 700 * time.Millisecond
+	defaultStoreRetry      = 250 * time.Millisecond
+	defaultTickInterval    = 10 * time.Millisecond
+	defaultDrainDelay      = 2500 * time.Millisecond // the platform's load balancer checks once a second and needs two failures
+	defaultReregisterTime  = 2500 * time.Millisecond // live endpoints register again within two seconds
+	defaultMaxBodyBytes    = 4 << 20
 	// capPeerTimeout is how long an entry may send no report before its share of the
 	// usage caps is reserved for it.
 	capPeerTimeout = 500 * time.Millisecond
@@ -128,9 +128,10 @@
 	// the list and reads the store, as a share of Config.LeaveWithin. It exceeds the time
 	// between two reads, so that this is the exception.
 	listRefreshShare = 0.55
-	// listHedgeShare is how long a read of the list may take before a second one is sent on
-	// another connection, as a share of Config.LeaveWithin.
-	listHedgeShare = 0.1
+	// hedgeShare is how long a read may be without an answer before a second one is sent on
+	// another connection, as a share of Config.LeaveWithin for the list of endpoints and of
+	// Config.ApplyWithin for the configuration.
+	hedgeShare = 0.1
 	// listMaxAgeShare is the age of the list up to which requests are sent by it, as a share of
 	// Config.LeaveWithin. The rest is left for a request that has passed the check to arrive.
 	listMaxAgeShare = 0.8
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -8,6 +8,7 @@
 
 	"primrosespoke.dev/coord/mirror"
 	"primrosespoke.dev/coord/routing"
+	"primrosespoke.dev/daemon/peer/progress"
 )
 
 // follower reads one topic. It logs a line when reads begin to fail and another when they
@@ -85,18 +86,29 @@
 
 // read reads a topic of the store from an offset on, with a timeout.
 func (f *Front) read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.config.Timing.CallTimeout)
+	ctx, cancel := progress.WithLimits(ctx, f.readLimits(wait))
 	defer cancel()
 	return f.config.Store.Read(ctx, topic, from, wait)
 }
 
 // newest reads the newest record of each key of a topic of the store, with a timeout.
 func (f *Front) newest(ctx context.Context, topic Topic) (mirror.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, 3*f.config.Timing.CallTimeout)
+	limits := f.readLimits(0)
+	limits.First *= 3 // the store looks up all keys before the first byte
+	ctx, cancel := progress.WithLimits(ctx, limits)
 	defer cancel()
 	return f.config.Store.Newest(ctx, topic)
 }
 
+// maxReadTime bounds one read of the store, however slowly its bytes come.
+const maxReadTime = 15 * time.Second
+
+// readLimits returns the limits of a read of the store that waits for a change. Its length
+// depends on the size of the records and on the link, so only its progress is bounded closely.
+func (f *Front) readLimits(wait time.Duration) progress.Limits {
+	return progress.Limits{First: wait + f.config.Timing.CallTimeout, Stall: f.config.Timing.CallTimeout, Total: wait + maxReadTime}
+}
+
 // followConfiguration keeps the configuration current. A read, also one without a new
 // version, shows which version was the newest when the read began.
 func (f *Front) followConfiguration(ctx context.Context) {
--- a/daemon/front/list_test.go
+++ b/daemon/front/list_test.go
@@ -16,7 +16,7 @@
 	for _, leaveWithin := range []time.Duration{2 * time.Second, 3 * time.Second} {
 		g := NewWithT(t)
 		f := &Front{config: Config{LeaveWithin: leaveWithin}.withDefaults()}
-		hedge := shareOf(leaveWithin, listHedgeShare)
+		hedge := shareOf(leaveWithin, hedgeShare)
 		g.Expect(f.config.Timing.EndpointInterval+relayReadTimeout).To(BeNumerically("<", f.listRefreshAge()), "a late read of the store, and a relayed one")
 		g.Expect(f.listRefreshAge()+hedge).To(BeNumerically("<", f.maxListAge()), "a read of the store that is not answered, before requests are held")
 		g.Expect(shareOf(leaveWithin, outageGapShare)).To(BeNumerically(">", f.listRefreshAge()), "no gap without a failed read")
@@ -24,6 +24,19 @@
 	}
 }
 
+// The same of the configuration: a poll, a hedged read after it and a late copy of another front
+// fit before requests wait.
+func TestAgesOfTheConfigurationLeaveTimeForEachStep(t *testing.T) {
+	for _, applyWithin := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		g := NewWithT(t)
+		f := &Front{config: Config{ApplyWithin: applyWithin}.withDefaults()}
+		g.Expect(f.relayWait(TopicConfiguration)).To(BeNumerically("<=", f.configurationRefreshAge()), "the next read of a parent")
+		g.Expect(f.config.Timing.ConfigurationWait+2*f.hedgeDelay(TopicConfiguration)).To(BeNumerically("<", f.configurationAgeLimit()), "a poll that is not answered, and a second read")
+		g.Expect(shareOf(applyWithin, outageGapShare)).To(BeNumerically(">", f.configurationRefreshAge()), "no gap without a failed read")
+		g.Expect(f.configurationAgeLimit()).To(BeNumerically("<", applyWithin))
+	}
+}
+
 // The check just before the send does not depend on when the request was placed.
 func TestARequestIsNotSentByAListThatBecameTooOldAfterItsPlacement(t *testing.T) {
 	g := NewWithT(t)
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -13,6 +13,7 @@
 	"primrosespoke.dev/coord/overlay"
 	"primrosespoke.dev/daemon/peer/node"
 	"primrosespoke.dev/daemon/peer/node/nodepb"
+	"primrosespoke.dev/daemon/peer/progress"
 )
 
 const (
@@ -267,10 +268,13 @@
 	switch {
 	case from < 0:
 		batch, err = f.newest(ctx, topic)
-	case topic == TopicEndpoints:
-		batch, sentAt, err = f.readListHedged(ctx, from)
-	default:
+	case topic == TopicMembers:
 		batch, err = f.read(ctx, topic, from, wait)
+	default:
+		var hedged bool
+		if batch, sentAt, hedged, err = f.readHedged(ctx, topic, from, wait); hedged {
+			wait = 0
+		}
 	}
 	if err != nil {
 		if !errors.Is(err, ErrTrimmed) && ctx.Err() == nil {
@@ -289,45 +293,64 @@
 	return got, nil
 }
 
-// readListHedged reads the list of endpoints from the store without waiting for a change. If
-// there is no answer for a time, it reports that, and sends a second read, since the
-// connection of the first one may be silent for good. It returns when the read was sent that
-// was answered, or the first one if none was.
-func (f *Front) readListHedged(ctx context.Context, from int64) (mirror.Batch, time.Duration, error) {
+// readHedged reads the list of endpoints or the configuration from the store. If no byte of an
+// answer comes for a time, beyond the time for which the read waits for a change, it reports
+// that, and sends a second read without waiting, since the connection of the first one may be
+// silent for good. It returns when the read was sent that was answered, or the first one if none
+// was, and whether that was the second one.
+func (f *Front) readHedged(ctx context.Context, topic Topic, from int64, wait time.Duration) (batch mirror.Batch, sentAt time.Duration, hedged bool, err error) {
 	type outcome struct {
 		batch  mirror.Batch
 		sentAt time.Duration
+		hedged bool
 		err    error
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan outcome, 2)
-	read := func() {
+	read := func(ctx context.Context, wait time.Duration, hedged bool) {
 		sentAt := f.now()
-		batch, err := f.read(ctx, TopicEndpoints, from, 0)
-		outcomes <- outcome{batch: batch, sentAt: sentAt, err: err}
+		batch, err := f.config.Store.Read(ctx, topic, from, wait)
+		outcomes <- outcome{batch: batch, sentAt: sentAt, hedged: hedged, err: err}
 	}
 	first := f.now()
-	go read()
-	hedge := time.NewTimer(shareOf(f.config.LeaveWithin, listHedgeShare))
+	firstContext, cancelFirst := progress.WithLimits(ctx, f.readLimits(wait))
+	defer cancelFirst()
+	secondContext, cancelSecond := progress.WithLimits(ctx, f.readLimits(wait))
+	defer cancelSecond()
+	go read(firstContext, wait, false)
+	hedge := time.NewTimer(wait + f.hedgeDelay(topic))
 	defer hedge.Stop()
+	started := progress.Started(firstContext)
 	for inProgress := 1; ; {
 		select {
+		case <-started:
+			started = nil
+			hedge.Stop()
 		case <-hedge.C:
-			f.send(readFailedMessage{topic: TopicEndpoints, sentAt: first})
+			f.send(readFailedMessage{topic: topic, sentAt: first + wait})
 			inProgress++
-			go read()
+			go read(secondContext, 0, true)
 		case o := <-outcomes:
 			if inProgress--; o.err == nil || inProgress == 0 {
 				if o.err != nil {
 					o.sentAt = first
 				}
-				return o.batch, o.sentAt, o.err
+				return o.batch, o.sentAt, o.hedged, o.err
 			}
 		}
 	}
 }
 
+// hedgeDelay returns how long a read of the list of endpoints or of the configuration may be
+// without an answer before a second one is sent.
+func (f *Front) hedgeDelay(topic Topic) time.Duration {
+	if topic == TopicConfiguration {
+		return shareOf(f.config.ApplyWithin, hedgeShare)
+	}
+	return shareOf(f.config.LeaveWithin, hedgeShare)
+}
+
 // maxRelayedAge returns the maximum age of records that are accepted from another front. It
 // exceeds the time between two reads by a front that reads the store, so that these need
 // not be read by all.
