front: a version of the configuration is published together with its proof

What callers saw: one 404 by the version before, at the moment at which a new one came in after a time without proof (found by the case 'replies end before the newest of several versions', 404 after 2.6 s).

Cause: since the age of the configuration is assessed, a new proof may publish the state, and it did so before the new table was set: for a moment the old table had the new table's proof.

The table is set first now.

--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -345,13 +345,13 @@
 }
 
 func (m tableMessage) apply(c *control) {
-	c.confirmConfiguration(m.asOf)
 	known := c.configuration.table
 	if known == nil || m.table.Version > known.Version {
 		c.configuration.table = m.table
 		c.applyTable(m.table)
 		c.logTable(m)
 	}
+	c.confirmConfiguration(m.asOf) // may publish, so the table must be in place
 	c.publish()
 }
 
