front, mirror: a reply that ends before the topic proves nothing about the newest record

What callers saw: refused with 404 by a version that was not the newest, while the front took it for recent.

Cause: a read of the store was taken for proof up to its start, whatever it returned. Replies are limited to 1 MB, so in a series of large versions each read returns one of them, while the end that the reply states lies further. The front, and those that read from it, counted the age from that read. All versions in between were read in turn, 0.9 s each on a slow link.

Change: a batch knows the end of the topic. A partial one adds its records and confirms nothing, for the configuration and for the list of endpoints. For the configuration the newest version is read next, without those before it.

--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -33,6 +33,12 @@
 	End int64
 }
 
+// Partial reports whether the batch ends before the topic did at the time of the read, so that
+// it proves nothing about which records are the newest.
+func (b Batch) Partial() bool {
+	return b.Next < b.End
+}
+
 // maxRemoved bounds how many removed keys are kept.
 const maxRemoved = 1000
 
@@ -67,8 +73,8 @@
 	}
 }
 
-// Append adds the records from an offset on, complete as of a time. They are ignored if
-// records between the contents and that offset are missing.
+// Append adds the records from an offset on, complete as of a time unless the batch is partial.
+// They are ignored if records between the contents and that offset are missing.
 func (m *Mirror) Append(from int64, b Batch, asOf time.Duration) {
 	if !m.loaded || from > m.next {
 		return
@@ -77,7 +83,9 @@
 		m.put(r)
 	}
 	m.next = max(m.next, b.Next)
-	m.advanceAsOf(asOf)
+	if !b.Partial() {
+		m.advanceAsOf(asOf)
+	}
 	m.trimRemoved()
 }
 
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -335,8 +335,10 @@
 // tableMessage delivers a version of the configuration.
 type tableMessage struct {
 	table *routing.Table
-	// asOf is a moment at which it was known to be the newest version.
-	asOf time.Duration
+	// asOf is a moment at which it was known to be the newest version, unless partial: then a
+	// newer one existed.
+	asOf    time.Duration
+	partial bool
 	// relayed, bytes and decodeTime say where the version came from, how large the batch was
 	// that held it and how long that took to decode, for logs.
 	relayed    bool
@@ -351,7 +353,9 @@
 		c.applyTable(m.table)
 		c.logTable(m)
 	}
-	c.confirmConfiguration(m.asOf) // may publish, so the table must be in place
+	if !m.partial {
+		c.confirmConfiguration(m.asOf) // may publish, so the table must be in place
+	}
 	c.publish()
 }
 
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -12,6 +12,8 @@
 	rows []row
 	// full is set if rows is the complete list as of the offset end.
 	full bool
+	// partial is set if there were further rows at asOf.
+	partial bool
 	// relayed is set if another entry sent the rows, whose list may be the older one.
 	relayed bool
 	end     int64
@@ -31,7 +33,9 @@
 
 func (m rowsMessage) apply(c *control) {
 	now := c.front.now()
-	c.confirmList(now, m.asOf)
+	if !m.partial {
+		c.confirmList(now, m.asOf)
+	}
 	changed := false
 	listed := map[string]bool{}
 	for _, r := range m.rows {
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -44,7 +44,7 @@
 	}
 	w.succeeded()
 	w.next = got.Next
-	if got.Next < got.End {
+	if got.Partial() {
 		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("next", got.Next).Int64("end", got.End).Msg("topic_read_in_part")
 	}
 	w.front.topics[w.topic].update(from, got)
@@ -115,7 +115,13 @@
 	w := newFollower(f, TopicConfiguration)
 	for ctx.Err() == nil {
 		got, ok := w.read(ctx, f.config.Timing.ConfigurationWait)
-		if !ok || f.applyConfiguration(got) {
+		if !ok {
+			continue
+		}
+		if got.Partial() {
+			w.next = -1 // the versions before the newest one need not be read
+		}
+		if f.applyConfiguration(got) || got.Partial() {
 			continue
 		}
 		if got.full && len(got.Records) == 0 {
@@ -156,7 +162,7 @@
 	if newest == nil {
 		return false
 	}
-	f.send(tableMessage{table: newest, asOf: got.asOf, relayed: got.relayed, bytes: size, decodeTime: f.now() - begun})
+	f.send(tableMessage{table: newest, asOf: got.asOf, partial: got.Partial(), relayed: got.relayed, bytes: size, decodeTime: f.now() - begun})
 	return true
 }
 
@@ -169,7 +175,12 @@
 		if !ok {
 			continue
 		}
-		f.send(rowsMessage{rows: f.decodeRows(got.Batch), full: got.full, relayed: got.relayed, end: got.Next, asOf: got.asOf})
+		f.send(rowsMessage{
+			rows: f.decodeRows(got.Batch), full: got.full, partial: got.Partial(), relayed: got.relayed, end: got.Next, asOf: got.asOf,
+		})
+		if got.Partial() {
+			continue
+		}
 		if wait = f.relayWait(TopicEndpoints); !got.relayed {
 			// Rows change all the time, so a read that waits for a change would return at once:
 			// the store is read at intervals instead.
