front, mirror, directory: offsets of a store that came back older are not compared with those before

After the store has come back from an older copy, fronts that read from another front never get the next version, and refuse by the old one with a proof that looks recent.

Cause: the store gives offsets out again. The mirror that a front passes on keeps, for each key, the record with the highest offset, so it takes the new record for an older one, while each read confirms the age. The directory of endpoints compares offsets in the same way.

Changes of another era are not applied: the topic is read whole. The directory forgets its offsets then; endpoints that are missing have the time to register again, and one that was draining stays so, as the older copy may list it as it was before.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -96,6 +96,18 @@
 	d.appliedTo = end
 }
 
+// Rewind forgets all offsets, since the source came back from an older copy and gives them out
+// again. That copy may list an endpoint as it was before it was draining, so that is kept.
+func (d *Directory) Rewind(now time.Duration) {
+	d.appliedTo = 0
+	for id, known := range d.rows {
+		known.offset = 0
+		if known.endpoint.Draining {
+			d.leaving[id] = leavingMark{born: known.endpoint.Born, at: now}
+		}
+	}
+}
+
 // EndOutage records that the list can be read again after an outage.
 func (d *Directory) EndOutage(now time.Duration) {
 	d.outageEnd, d.hadOutage = now, true
--- a/coord/directory/directory_test.go
+++ b/coord/directory/directory_test.go
@@ -141,3 +141,23 @@
 	d.Restart(2)
 	g.Expect(d.Put(2, row("c"))).To(Equal(directory.Added), "the source has lost records")
 }
+
+// After the source came back from an older copy, records with lower offsets count again, but an
+// endpoint that was draining stays so until another incarnation is listed.
+func TestOffsetsStartAnewAfterTheSourceCameBackOlder(t *testing.T) {
+	g := NewWithT(t)
+	d := directory.New(directory.Config{ReregisterTime: time.Second})
+	e := directory.Endpoint{ID: "a", Service: "s", Address: "10.0.0.1:80", Born: 7}
+	draining := e
+	draining.Draining = true
+	d.Put(40, e)
+	d.Put(50, draining)
+	d.Advance(51)
+	d.Rewind(0)
+	g.Expect(d.Put(20, e)).To(Equal(directory.Updated))
+	g.Expect(d.All()[0].Draining).To(BeTrue())
+	moved := directory.Endpoint{ID: "a", Service: "s", Address: "10.0.0.2:80", Born: 8}
+	g.Expect(d.Put(21, moved)).To(Equal(directory.Added))
+	g.Expect(d.All()).To(ConsistOf(moved))
+	g.Expect(d.Put(22, directory.Endpoint{ID: "b", Service: "s", Address: "10.0.0.3:80"})).To(Equal(directory.Added))
+}
--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -31,6 +31,9 @@
 	// End is the offset after the topic's last record at the time of the read. A batch whose
 	// Next is lower holds a part of the records only.
 	End int64
+	// Era rises each time that the store comes back from an older copy and gives offsets out
+	// again. Offsets of two eras can't be compared. 0 = the store states none.
+	Era int64
 }
 
 // Partial reports whether the batch ends before the topic did at the time of the read, so that
@@ -51,6 +54,7 @@
 	// changesFrom is the lowest offset from which all changes are known, and next the
 	// offset up to which the topic is known.
 	changesFrom, next int64
+	era               int64 // of the offsets
 	asOf              time.Duration
 }
 
@@ -62,11 +66,11 @@
 // Replace replaces the contents by the newest record of each key, complete as of a time.
 // A read that is older than the contents is ignored.
 func (m *Mirror) Replace(b Batch, asOf time.Duration) {
-	if m.loaded && b.Next < m.next {
+	if m.loaded && (b.Era < m.era || b.Era == m.era && b.Next < m.next) {
 		return // older than the contents
 	}
 	m.newest, m.removedCount = map[string]Record{}, 0
-	m.loaded, m.changesFrom, m.next = true, b.Next, b.Next
+	m.loaded, m.changesFrom, m.next, m.era = true, b.Next, b.Next, b.Era
 	m.advanceAsOf(asOf)
 	for _, r := range b.Records {
 		m.put(r)
@@ -74,9 +78,10 @@
 }
 
 // Append adds the records from an offset on, complete as of a time unless the batch is partial.
-// They are ignored if records between the contents and that offset are missing.
+// They are ignored if records between the contents and that offset are missing, or if they are
+// of another era.
 func (m *Mirror) Append(from int64, b Batch, asOf time.Duration) {
-	if !m.loaded || from > m.next {
+	if !m.loaded || from > m.next || b.Era != m.era {
 		return
 	}
 	for _, r := range b.Records {
@@ -144,13 +149,18 @@
 	return m.asOf
 }
 
-// Since returns the newest records at or after an offset. It returns false where not all
-// changes since that offset are known, so that Whole must be read.
-func (m *Mirror) Since(from int64) (Batch, bool) {
-	if !m.loaded || from < m.changesFrom {
+// Era returns the era of the contents.
+func (m *Mirror) Era() int64 {
+	return m.era
+}
+
+// Since returns the newest records at or after an offset of an era. It returns false where not
+// all changes since then are known, so that Whole must be read.
+func (m *Mirror) Since(era, from int64) (Batch, bool) {
+	if !m.loaded || era != m.era || from < m.changesFrom {
 		return Batch{}, false
 	}
-	b := Batch{Next: max(m.next, from), End: max(m.next, from)}
+	b := Batch{Next: max(m.next, from), End: max(m.next, from), Era: m.era}
 	for _, r := range m.newest {
 		if r.Offset >= from {
 			b.Records = append(b.Records, r)
@@ -162,7 +172,7 @@
 
 // Whole returns the newest record of each key that was not removed.
 func (m *Mirror) Whole() Batch {
-	b := Batch{Next: m.next, End: m.next}
+	b := Batch{Next: m.next, End: m.next, Era: m.era}
 	for _, r := range m.newest {
 		if r.Value != nil {
 			b.Records = append(b.Records, r)
--- a/coord/mirror/mirror_test.go
+++ b/coord/mirror/mirror_test.go
@@ -87,7 +87,7 @@
 					f.apply(true, whole())
 				}
 			case 4:
-				b, ok := m.Since(f.next)
+				b, ok := m.Since(0, f.next)
 				switch {
 				case ok:
 					f.apply(false, b)
@@ -135,9 +135,40 @@
 	for i := range int64(5000) {
 		m.Append(i, mirror.Batch{Records: []mirror.Record{{Offset: i, Key: fmt.Sprint(i)}}, Next: i + 1}, 0)
 	}
-	_, ok := m.Since(10)
+	_, ok := m.Since(0, 10)
 	g.Expect(ok).To(BeFalse(), "the topic must be read whole")
-	recent, ok := m.Since(4990)
+	recent, ok := m.Since(0, 4990)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(recent.Records).To(HaveLen(10))
 }
+
+// The store comes back from an older copy and gives the offset of a known record out again.
+func TestRecordsOfALaterEraReplaceThoseWithHigherOffsets(t *testing.T) {
+	g := NewWithT(t)
+	record := func(offset int64, value string) []mirror.Record {
+		return []mirror.Record{{Offset: offset, Key: "a", Value: []byte(value)}}
+	}
+	m := mirror.New()
+	m.Replace(mirror.Batch{Records: record(8, "old"), Next: 9, Era: 1}, time.Second)
+	m.Append(3, mirror.Batch{Records: record(3, "new"), Next: 4, Era: 2}, 2*time.Second)
+	g.Expect(m.AsOf()).To(Equal(time.Second), "changes of another era do not fit")
+	m.Replace(mirror.Batch{Records: record(3, "new"), Next: 4, Era: 2}, 3*time.Second)
+	_, ok := m.Since(1, 4)
+	g.Expect(ok).To(BeFalse(), "a reader that has seen the era before needs the whole topic")
+	_, ok = m.Since(2, 4)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(string(m.Whole().Records[0].Value)).To(Equal("new"))
+	m.Replace(mirror.Batch{Records: record(8, "old"), Next: 9, Era: 1}, 4*time.Second)
+	g.Expect(m.Era()).To(Equal(int64(2)))
+}
+
+func TestAPartialBatchAddsRecordsAndProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	m := mirror.New()
+	m.Replace(mirror.Batch{Next: 1, End: 1}, time.Second)
+	m.Append(1, mirror.Batch{Records: []mirror.Record{{Offset: 1, Key: "a", Value: []byte("1")}}, Next: 2, End: 4}, 2*time.Second)
+	g.Expect(m.Next()).To(Equal(int64(2)))
+	g.Expect(m.AsOf()).To(Equal(time.Second))
+	m.Append(2, mirror.Batch{Next: 4, End: 4}, 3*time.Second)
+	g.Expect(m.AsOf()).To(Equal(3 * time.Second))
+}
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -32,6 +32,7 @@
 	usable               map[string]string        // addresses of the endpoints that may get requests, by ID; not changed after it is published
 	listVerdict          staleness.Verdict        // as last logged
 	listSince            time.Duration            // when listVerdict began
+	listEra              int64                    // of the directory's offsets; see mirror.Batch
 	limiter              *allowance.Limiter       // of usage caps
 	budgets              map[string]*retry.Budget // by service
 	rng                  *rand.Rand
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -17,6 +17,7 @@
 	// relayed is set if another entry sent the rows, whose list may be the older one.
 	relayed bool
 	end     int64
+	era     int64 // of the offsets
 	// asOf is the moment up to which the rows are known to be complete.
 	asOf time.Duration
 }
@@ -36,6 +37,9 @@
 	if !m.partial {
 		c.confirmList(now, m.asOf)
 	}
+	if m.era > c.listEra {
+		c.rewindList(now, m.era)
+	}
 	changed := false
 	listed := map[string]bool{}
 	for _, r := range m.rows {
@@ -57,6 +61,17 @@
 	c.publishEndpoints(now)
 }
 
+// rewindList prepares for the list of a store that came back from an older copy: offsets start
+// anew, and endpoints that are missing may only have to register again.
+func (c *control) rewindList(now time.Duration, era int64) {
+	if c.listEra > 0 {
+		c.front.log.Info().Int64("era", era).Int64("era_before", c.listEra).Msg("endpoint_list_rewound")
+		c.directory.Rewind(now)
+		c.directory.EndOutage(now)
+	}
+	c.listEra = era
+}
+
 // confirmList records the moment up to which the list of endpoints is complete. After a gap
 // in which the list could not be read, rows may have expired in an outage, unless another
 // entry read the list throughout.
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -16,13 +16,13 @@
 type follower struct {
 	front        *Front
 	topic        Topic
-	next         int64         // offset to read from; -1 = the newest record of each key
+	next         offset        // to read from
 	failingSince time.Duration // when reads began to fail; 0 = they succeed
 	failures     int
 }
 
 func newFollower(f *Front, topic Topic) *follower {
-	return &follower{front: f, topic: topic, next: -1}
+	return &follower{front: f, topic: topic, next: offset{number: -1}}
 }
 
 // read returns the new records of the topic. If the read fails, ok is false, and read has
@@ -34,8 +34,8 @@
 	from := w.next
 	got, err := w.front.fetch(ctx, w.topic, from, wait)
 	if errors.Is(err, ErrTrimmed) {
-		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("from", from).Msg("topic_read_anew")
-		w.next = -1
+		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("from", from.number).Msg("topic_read_anew")
+		w.next.number = -1
 		return fetchResult{}, false
 	}
 	if err != nil {
@@ -43,11 +43,18 @@
 		return fetchResult{}, false
 	}
 	w.succeeded()
-	w.next = got.Next
+	if got.Era != from.era && from.number >= 0 && !got.full {
+		// The records that were asked for are not those that follow the known ones.
+		w.front.log.Warn().Str("topic", topicNames[w.topic]).Int64("from", from.number).Int64("era", got.Era).Int64("era_before", from.era).
+			Msg("store_came_back_older")
+		w.next = offset{number: -1, era: got.Era}
+		return fetchResult{}, false
+	}
+	w.next = offset{number: got.Next, era: got.Era}
 	if got.Partial() {
 		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("next", got.Next).Int64("end", got.End).Msg("topic_read_in_part")
 	}
-	w.front.topics[w.topic].update(from, got)
+	w.front.topics[w.topic].update(from.number, got)
 	return got, true
 }
 
@@ -119,7 +126,7 @@
 			continue
 		}
 		if got.Partial() {
-			w.next = -1 // the versions before the newest one need not be read
+			w.next.number = -1 // the versions before the newest one need not be read
 		}
 		if f.applyConfiguration(got) || got.Partial() {
 			continue
@@ -176,7 +183,7 @@
 			continue
 		}
 		f.send(rowsMessage{
-			rows: f.decodeRows(got.Batch), full: got.full, partial: got.Partial(), relayed: got.relayed, end: got.Next, asOf: got.asOf,
+			rows: f.decodeRows(got.Batch), full: got.full, partial: got.Partial(), relayed: got.relayed, end: got.Next, era: got.Era, asOf: got.asOf,
 		})
 		if got.Partial() {
 			continue
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -52,6 +52,12 @@
 	relayed bool
 }
 
+// offset is where a reader stands in a topic.
+type offset struct {
+	number int64 // of the next record; -1 = the newest record of each key
+	era    int64 // see mirror.Batch
+}
+
 // relayPosition is a front's position in the tree in which fronts pass topics on.
 type relayPosition struct {
 	readsStore   bool     // the front reads the store itself
@@ -160,10 +166,10 @@
 	return true
 }
 
-// fetch reads a topic from an offset on; -1 = the newest record of each key. It reads
+// fetch reads a topic from an offset on. It reads
 // from the first parent that answers, or else from the store. The list of endpoints and the
 // configuration are read from other fronts with recent ones if the store can't be read.
-func (f *Front) fetch(ctx context.Context, topic Topic, from int64, wait time.Duration) (fetchResult, error) {
+func (f *Front) fetch(ctx context.Context, topic Topic, from offset, wait time.Duration) (fetchResult, error) {
 	got, ok := f.fetchFrom(ctx, f.relay.usableParents(f.now()), topic, from, wait)
 	if ok {
 		return got, nil
@@ -172,21 +178,21 @@
 		return fetchResult{}, ctx.Err()
 	}
 	if topic == TopicMembers {
-		return f.fetchStored(ctx, topic, from, wait)
+		return f.fetchStored(ctx, topic, from.number, wait)
 	}
 	return f.fetchWithFallbacks(ctx, topic, from, wait)
 }
 
 // fetchWithFallbacks reads a topic from the store, or from other fronts if the store can't be
 // read. After a failed read of the store they are asked first for a time.
-func (f *Front) fetchWithFallbacks(ctx context.Context, topic Topic, from int64, wait time.Duration) (fetchResult, error) {
+func (f *Front) fetchWithFallbacks(ctx context.Context, topic Topic, from offset, wait time.Duration) (fetchResult, error) {
 	fallbacks, storeExcluded := f.relay.sourcesAt(f.now(), topic)
 	if storeExcluded {
 		if got, ok := f.fetchFrom(ctx, fallbacks, topic, from, wait); ok {
 			return got, nil
 		}
 	}
-	got, err := f.fetchStored(ctx, topic, from, wait)
+	got, err := f.fetchStored(ctx, topic, from.number, wait)
 	if err == nil || errors.Is(err, ErrTrimmed) || ctx.Err() != nil {
 		return got, err
 	}
@@ -202,7 +208,7 @@
 
 // fetchFrom reads a topic from the first of the fronts that answers. It returns false if none
 // does before the store must be read.
-func (f *Front) fetchFrom(ctx context.Context, addresses []string, topic Topic, from int64, wait time.Duration) (fetchResult, bool) {
+func (f *Front) fetchFrom(ctx context.Context, addresses []string, topic Topic, from offset, wait time.Duration) (fetchResult, bool) {
 	for _, address := range addresses {
 		patience := f.patience(topic)
 		if patience <= 0 {
@@ -363,18 +369,20 @@
 
 // fetchRelayed reads a topic from another front, which waits for a change for the time wait.
 // If the answer can't be used or does not come in time, it returns the reason.
-func (f *Front) fetchRelayed(ctx context.Context, parent string, topic Topic, from int64, wait, timeout time.Duration) (fetchResult, string) {
+func (f *Front) fetchRelayed(ctx context.Context, parent string, topic Topic, from offset, wait, timeout time.Duration) (fetchResult, string) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := f.now()
 	reply, err := f.relay.client.Relay(parent).Read(ctx, &nodepb.TopicRequest{
-		Topic: uint32(topic), From: from, WaitUs: wait.Microseconds(), Deflate: true,
+		Topic: uint32(topic), From: from.number, Era: from.era, WaitUs: wait.Microseconds(), Deflate: true,
 	})
 	switch {
 	case err != nil:
 		return fetchResult{}, err.Error()
 	case reply.Unknown:
 		return fetchResult{}, "not known there"
+	case reply.Era < from.era:
+		return fetchResult{}, "not read there since the store came back older"
 	}
 	// The clocks of two fronts are unrelated, so the reply's age is counted from the earliest
 	// moment at which the other front can have answered: the call's start plus the time for
@@ -384,7 +392,7 @@
 	if f.now()-got.asOf > f.maxRelayedAge(topic) {
 		return fetchResult{}, "too old"
 	}
-	got.Next = reply.Next
+	got.Next, got.End, got.Era = reply.Next, reply.Next, reply.Era
 	for _, r := range reply.Records {
 		value, err := inflate(r)
 		if err != nil {
--- a/daemon/front/relay_server.go
+++ b/daemon/front/relay_server.go
@@ -86,10 +86,10 @@
 
 // changeAfter returns a channel that is closed at the next read of the topic, or nil if a reader at
 // an offset need not wait.
-func (t *relayedTopic) changeAfter(from int64) <-chan struct{} {
+func (t *relayedTopic) changeAfter(era, from int64) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.unreadable || !t.mirror.Loaded() || from < 0 || t.mirror.Next() > from {
+	if t.unreadable || !t.mirror.Loaded() || from < 0 || t.mirror.Era() != era || t.mirror.Next() > from {
 		return nil
 	}
 	return t.changed
@@ -97,8 +97,8 @@
 
 // waitFor waits until there is a reply for a reader at an offset, or the topic was read
 // again, at most for the time wait.
-func (t *relayedTopic) waitFor(ctx context.Context, from int64, wait time.Duration) {
-	changed := t.changeAfter(from)
+func (t *relayedTopic) waitFor(ctx context.Context, era, from int64, wait time.Duration) {
+	changed := t.changeAfter(era, from)
 	if changed == nil {
 		return
 	}
@@ -113,17 +113,17 @@
 
 // reply returns the records from an offset on, or the newest record of each key if the
 // changes since then are not known.
-func (t *relayedTopic) reply(from int64, now time.Duration, deflate bool) *nodepb.TopicReply {
+func (t *relayedTopic) reply(era, from int64, now time.Duration, deflate bool) *nodepb.TopicReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.unreadable || !t.mirror.Loaded() {
 		return &nodepb.TopicReply{Unknown: true}
 	}
-	batch, ok := t.mirror.Since(from)
+	batch, ok := t.mirror.Since(era, from)
 	if !ok {
 		batch = t.mirror.Whole()
 	}
-	reply := &nodepb.TopicReply{Whole: !ok, Next: batch.Next, AgeUs: (now - t.mirror.AsOf()).Microseconds()}
+	reply := &nodepb.TopicReply{Whole: !ok, Next: batch.Next, Era: batch.Era, AgeUs: (now - t.mirror.AsOf()).Microseconds()}
 	for _, r := range batch.Records {
 		record := &nodepb.TopicRecord{Offset: r.Offset, Key: r.Key, Value: r.Value, Removed: r.Value == nil}
 		if deflate && len(r.Value) >= minDeflatedBytes {
@@ -236,9 +236,9 @@
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(s.front.baseContext, cancel)()
-	topic.waitFor(waiting, req.From, min(time.Duration(req.WaitUs)*time.Microsecond, maxRelayWait))
+	topic.waitFor(waiting, req.Era, req.From, min(time.Duration(req.WaitUs)*time.Microsecond, maxRelayWait))
 	built := s.front.now()
-	reply := topic.reply(req.From, built, req.Deflate)
+	reply := topic.reply(req.Era, req.From, built, req.Deflate)
 	if hold, ok := ctx.Value(slotHoldKey{}).(*slotHold); ok && proto.Size(reply) >= largeReplyBytes {
 		if err := hold.acquire(waiting); err != nil {
 			return nil, twirp.InternalErrorWith(err)
