front, platform: software versions of endpoints and resumed attempts in logs

Whether a stream went on at another version within an answer or through a caller that came back could not be told from the logs. The version of an endpoint's row and the header Resumes are decoded. request_placed and endpoint_changed name the version, stream_taken_up the attempt that a request resumes, stream_version_changed (and a metric) a stream that holds events of two versions within one answer. A row whose version is no string is unusable, as other rows with fields of another type. No placement is changed.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -21,6 +21,8 @@
 	FailureDomain string
 	// Slots is how many requests the endpoint runs at once; 0 = unknown.
 	Slots int
+	// Version is that of the endpoint's software; empty = not stated.
+	Version string
 	// Draining endpoints get no new requests.
 	Draining bool
 	// Born identifies the incarnation of the endpoint that has the ID; 0 = unknown.
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -296,7 +296,7 @@
 
 func (s *Scheduler) place(now time.Duration, r *Request, c *candidate, cost float64, p *pool) Placement {
 	placement := Placement{
-		Request: r.ID, Endpoint: c.endpoint.ID, Address: c.endpoint.Address, Born: c.endpoint.Born, Waited: now - r.Arrived,
+		Request: r.ID, Endpoint: c.endpoint.ID, Address: c.endpoint.Address, Born: c.endpoint.Born, Version: c.endpoint.Version, Waited: now - r.Arrived,
 		Running: c.running, Slots: c.slots, Score: cost, ReportAge: p.reportAge,
 		PendingPromptTokens: c.pendingPromptTokens, EventInterval: time.Duration(c.eventInterval * float64(time.Second)), PromptRate: c.promptRate,
 		ExpectedFirstEvent: time.Duration(c.firstEvent(r) * float64(time.Second)),
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -101,6 +101,8 @@
 	Address  string
 	// Born identifies the incarnation of the endpoint; see directory.Endpoint.
 	Born int64
+	// Version is that of the endpoint's software; see directory.Endpoint.
+	Version string
 	// Waited is how long the request was queued.
 	Waited time.Duration
 	// Running is how many requests the endpoint runs as far as this entry knows, and
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -32,6 +32,9 @@
 	OutputHint int
 	// LastEvent is the ID of the last event that the caller received; empty = none.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream, if
+	// LastEvent is set; empty = not stated.
+	Resumes string
 	// Header holds the headers that are passed on to every endpoint.
 	Header http.Header
 }
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -156,7 +156,7 @@
 	}
 	if change != directory.Unchanged {
 		c.front.log.Info().Str("endpoint", r.id).Str("service", r.endpoint.Service).
-			Str("address", r.endpoint.Address).Bool("draining", r.endpoint.Draining).
+			Str("address", r.endpoint.Address).Bool("draining", r.endpoint.Draining).Str("version", r.endpoint.Version).
 			Int64("offset", r.offset).Str("change", changeNames[change]).Msg("endpoint_changed")
 	}
 	return change
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -46,6 +46,8 @@
 	answered            bool            // the headers of an answer have been prepared
 	streamStarted       bool            // the status and headers of a stream have been sent to the caller
 	lastEvent           string          // ID of the last event that the caller was sent
+	eventsFrom          string          // the endpoint that sent the last event
+	eventsVersion       string          // of that endpoint's software
 	heldFailure         *answer         // an endpoint's failure, which the caller gets if no further attempt succeeds
 	lastEndpoint        string          // of the last placement
 	firstByteAt         time.Duration   // when an endpoint's answer began to be sent to the caller
@@ -95,6 +97,9 @@
 		return d.deny(http.StatusBadRequest, err.Error())
 	}
 	d.call = call
+	if call.LastEvent != "" {
+		d.front.log.Info().Str("request_id", call.ID).Str("last_event", call.LastEvent).Str("resumes", call.Resumes).Msg("stream_taken_up")
+	}
 	if status, reason := d.readBody(); status != 0 {
 		return d.deny(status, reason)
 	}
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -20,6 +20,7 @@
 	storeCalls, storeFailures, reportsUnsent metric.Int64Counter
 	unusableConfigurations                   metric.Int64Counter
 	configurationVerdicts                    metric.Int64Counter
+	versionChanges                           metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
 }
 
@@ -41,6 +42,7 @@
 		limitChanges:           i.Counter("primrosespoke_endpoint_limit_changes", "{change}", "limits that endpoints named, changed or ended"),
 		rests:                  i.Counter("primrosespoke_endpoint_rests", "{rest}", "times that an endpoint asked this front to send nothing for a time"),
 		permits:                i.Counter("primrosespoke_permits_granted", "{permit}", "permits for requests to endpoints with a limit that were granted to other entries"),
+		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
 		unusableConfigurations: i.Counter("primrosespoke_unusable_configurations", "{version}", "versions of the configuration that could not be decoded"),
 		reportsUnsent:          i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -104,7 +104,7 @@
 		if d.isRepeated(events.id) {
 			continue
 		}
-		if !d.passEvent(resp, events) {
+		if !d.passEvent(p, resp, events) {
 			return finishedWith(outcomeGone), scheduler.Abandoned
 		}
 	}
@@ -124,12 +124,13 @@
 }
 
 // passEvent sends an event to the caller. It returns false if the caller has gone.
-func (d *delivery) passEvent(resp *http.Response, events *eventReader) bool {
+func (d *delivery) passEvent(p scheduler.Placement, resp *http.Response, events *eventReader) bool {
 	if !d.streamStarted {
 		d.streamStarted = true
 		d.writeHead(resp.Header)
 		d.writer.WriteHeader(resp.StatusCode)
 	}
+	d.recordVersion(p)
 	d.recordGap()
 	control := http.NewResponseController(d.writer)
 	if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
@@ -147,6 +148,17 @@
 	return control.Flush() == nil
 }
 
+// recordVersion logs and counts a stream that goes on at another software version than before,
+// within this answer.
+func (d *delivery) recordVersion(p scheduler.Placement) {
+	if d.eventsFrom != "" && d.eventsFrom != p.Endpoint && d.eventsVersion != p.Version {
+		d.front.log.Warn().Str("request_id", d.call.ID).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
+			Str("endpoint_before", d.eventsFrom).Str("version_before", d.eventsVersion).Msg("stream_version_changed")
+		d.front.metrics.versionChanges.Add(d.front.baseContext, 1)
+	}
+	d.eventsFrom, d.eventsVersion = p.Endpoint, p.Version
+}
+
 // recordGap updates the longest time between two events of the stream.
 func (d *delivery) recordGap() {
 	now := d.front.now()
