front, platform: a stream goes on only at the software version that began it

Cause: the version in an endpoint's row and the header Resumes were not read. A broken stream was placed at any endpoint, and the front at which a caller came back could not know what began the stream: only the front that was killed did.

Change: the first event of a stream decides its version. The front tells two others, which the attempt's ID selects, and tells them again when the fronts change. A caller that comes back is asked for at this front, at four others, and, if nobody knows, in the history of the list: where one version alone was listed all along, it began the stream. Without proof the request gets 503. A placement is void if the endpoint's incarnation or version is not the one it was made for, and a row without a version is unusable.

In the test fronts have to know each other before it begins: a front of the first second knows no other one to ask.

--- a/coord/directory/directory.go
+++ b/coord/directory/directory.go
@@ -21,7 +21,8 @@
 	FailureDomain string
 	// Slots is how many requests the endpoint runs at once; 0 = unknown.
 	Slots int
-	// Version is that of the endpoint's software; empty = not stated.
+	// Version is that of the endpoint's software. Endpoints of several versions serve side by
+	// side, and one can't go on with another's stream.
 	Version string
 	// Draining endpoints get no new requests.
 	Draining bool
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -7,6 +7,7 @@
 
 	"primrosespoke.dev/coord/allowance"
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/origin"
 	"primrosespoke.dev/coord/quarantine"
 	"primrosespoke.dev/coord/retry"
 	"primrosespoke.dev/coord/routing"
@@ -28,10 +29,15 @@
 	front                *Front
 	scheduler            *scheduler.Scheduler
 	directory            *directory.Directory
-	list                 *staleness.Monitor       // of the directory's source
-	usable               map[string]string        // addresses of the endpoints that may get requests, by ID; not changed after it is published
-	listVerdict          staleness.Verdict        // as last logged
-	listSince            time.Duration            // when listVerdict began
+	list                 *staleness.Monitor            // of the directory's source
+	usable               map[string]directory.Endpoint // that may get requests, by ID; not changed after it is published
+	listVerdict          staleness.Verdict             // as last logged
+	listSince            time.Duration                 // when listVerdict began
+	listEnd              int64                         // up to which the list is known, an offset of listEra
+	origins              *origin.Log                   // of streams, by software version
+	untoldOrigins        []origin.Origin               // that their homes are to be told
+	versions             *origin.History               // of the list of endpoints
+	soleQueries          []soleVersionQuery
 	listEra              int64                    // of the directory's offsets; see mirror.Batch
 	limiter              *allowance.Limiter       // of usage caps
 	budgets              map[string]*retry.Budget // by service
@@ -73,6 +79,8 @@
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
 		sendLimits: sendlimit.New(f.now(), f.config.ID, sendlimit.DefaultConfig()),
 		startedAt:  f.now(),
+		origins:    origin.NewLog(origin.DefaultConfig()),
+		versions:   origin.NewHistory(f.config.LeaveWithin),
 		undecided:  map[uint64]chan<- decision{},
 		cancelable: map[uint64]cancelableAttempt{},
 		members:    newMembers(f.config.ID, f.config.Timing.MemberTTL),
@@ -131,6 +139,8 @@
 	c.reviewHeld()
 	c.plan()
 	c.sendReports(now)
+	c.sendOrigins(now)
+	c.answerSoleQueries(now)
 }
 
 // plan runs the scheduler and carries out its placements, refusals and cancellations.
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -58,6 +58,9 @@
 	if changed || m.full {
 		c.endpointsChanged()
 	}
+	if c.listEnd = max(c.listEnd, m.end); !m.partial {
+		c.observeVersions()
+	}
 	c.publishEndpoints(now)
 }
 
@@ -69,7 +72,7 @@
 		c.directory.Rewind(now)
 		c.directory.EndOutage(now)
 	}
-	c.listEra = era
+	c.listEra, c.listEnd = era, 0
 }
 
 // confirmList records the moment up to which the list of endpoints is complete. After a gap
@@ -153,6 +156,9 @@
 		change = c.directory.Remove(now, r.offset, r.id)
 	default:
 		change = c.directory.Put(r.offset, r.endpoint)
+		if change == directory.Added {
+			c.tellOrigins(c.origins.Listed(r.id, r.endpoint.Born, r.endpoint.Version)...)
+		}
 	}
 	if change != directory.Unchanged {
 		c.front.log.Info().Str("endpoint", r.id).Str("service", r.endpoint.Service).
@@ -185,12 +191,12 @@
 	rows := c.directory.All()
 	c.scheduler.SetEndpoints(rows)
 	kept := make(map[string]bool, len(rows))
-	c.usable, c.born = make(map[string]string, len(rows)), make(map[string]int64, len(rows))
+	c.usable, c.born = make(map[string]directory.Endpoint, len(rows)), make(map[string]int64, len(rows))
 	for _, r := range rows {
 		kept[r.Address] = true
 		c.born[r.ID] = r.Born
 		if !r.Draining {
-			c.usable[r.ID] = r.Address
+			c.usable[r.ID] = r
 		}
 	}
 	c.retainLimits()
--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -52,8 +52,8 @@
 		{ID: 2, Answered: true, AnswerMS: math.MinInt64, Crashes: [][2]uint64{{1, 5}}},
 	}
 	f.Add(encode(hostile))
-	f.Add(encode(permitReport{From: "front-2", Ask: &permitAsk{Limit: limitState{Endpoint: "a", Born: 1, Limited: true, Rate: math.Inf(1)}, Requests: math.MaxInt, Value: math.NaN(), Received: math.MinInt}}))
-	f.Add(encode(permitReport{From: "front-2", Grant: &permitGrant{Endpoint: "a", Born: 1, Permits: math.MaxInt}}))
+	f.Add(encode(directReport{From: "front-2", Ask: &permitAsk{Limit: limitState{Endpoint: "a", Born: 1, Limited: true, Rate: math.Inf(1)}, Requests: math.MaxInt, Value: math.NaN(), Received: math.MinInt}}))
+	f.Add(encode(directReport{From: "front-2", Grant: &permitGrant{Endpoint: "a", Born: 1, Permits: math.MaxInt}}))
 	f.Add([]byte{0xa1, 0x14, 0xf6})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		g := NewWithT(t)
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -47,7 +47,8 @@
 	streamStarted       bool            // the status and headers of a stream have been sent to the caller
 	lastEvent           string          // ID of the last event that the caller was sent
 	eventsFrom          string          // the endpoint that sent the last event
-	eventsVersion       string          // of that endpoint's software
+	streamVersion       string          // of the software that began the stream; empty = it has not begun
+	beganStream         bool            // its first event came here
 	heldFailure         *answer         // an endpoint's failure, which the caller gets if no further attempt succeeds
 	lastEndpoint        string          // of the last placement
 	firstByteAt         time.Duration   // when an endpoint's answer began to be sent to the caller
@@ -97,9 +98,6 @@
 		return d.deny(http.StatusBadRequest, err.Error())
 	}
 	d.call = call
-	if call.LastEvent != "" {
-		d.front.log.Info().Str("request_id", call.ID).Str("last_event", call.LastEvent).Str("resumes", call.Resumes).Msg("stream_taken_up")
-	}
 	if status, reason := d.readBody(); status != 0 {
 		return d.deny(status, reason)
 	}
@@ -110,10 +108,16 @@
 	ctx, cancel := context.WithTimeoutCause(d.request.Context(), limit, errTimeout)
 	defer cancel()
 	d.requestContext, d.attemptContext, d.deadline = ctx, ctx, d.arrived+limit
+	if done := d.findOrigin(); done != "" {
+		return done
+	}
 	if done := d.charge(); done != "" {
 		return done
 	}
 	done := d.deliver()
+	if d.beganStream {
+		d.front.send(streamEndedMessage{key: d.originKey()})
+	}
 	if d.sends == 0 && d.charged > 0 {
 		d.front.send(refundMessage{account: d.admission.Account.Name, cost: d.charged})
 	}
@@ -280,6 +284,7 @@
 		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint,
 		Arrived: now, GapTarget: route.GapTarget, Deadline: d.deadline, NextByteDeadline: d.deadline,
 		Repeatable: route.Repeatable() && d.runs+1 < route.MaxAttempts, Avoid: maps.Clone(d.triedEndpoints),
+		Version: d.streamVersion,
 	}
 	if r.OutputTokens == 0 {
 		r.OutputTokens = int(expectedOutputShare * float64(d.call.MaxOutputTokens))
@@ -312,6 +317,9 @@
 // checkRetry ends the request if it may not be sent again after an attempt. An empty
 // outcome means that it may.
 func (d *delivery) checkRetry(result attemptResult) outcome {
+	if d.beganStream && d.originAmbiguous() {
+		return d.giveUp(reasonOriginAmbiguous)
+	}
 	switch result.kind {
 	case notSent:
 		return "" // no endpoint received anything, so no budget is needed
--- a/daemon/front/limits.go
+++ b/daemon/front/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"primrosespoke.dev/coord/origin"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/coord/sendlimit"
 )
@@ -155,12 +156,12 @@
 	}
 	effects := c.sendLimits.Step(now)
 	for _, a := range effects.Asks {
-		c.report(permitReport{
+		c.report(directReport{
 			From: c.front.config.ID, Ask: &permitAsk{Limit: encodeLimit(a.State), Requests: a.Requests, Value: a.Value, Received: a.Received},
 		}, []string{a.To})
 	}
 	for _, g := range effects.Grants {
-		c.report(permitReport{From: c.front.config.ID, Grant: &permitGrant{Endpoint: g.Endpoint, Born: g.Born, Permits: g.Permits}}, []string{g.To})
+		c.report(directReport{From: c.front.config.ID, Grant: &permitGrant{Endpoint: g.Endpoint, Born: g.Born, Permits: g.Permits}}, []string{g.To})
 		c.front.metrics.permitsGranted(g.Permits)
 		c.front.log.Debug().Str("endpoint", g.Endpoint).Str("to", g.To).Int("permits", g.Permits).Msg("permits_granted")
 	}
@@ -212,12 +213,14 @@
 	return encoded
 }
 
-// permitReport is a datagram about the permits of one endpoint. Its keys differ from those of a
+// directReport is a datagram to one entry, about the permits of one endpoint or about streams
+// that began at the sender. Its keys differ from those of a
 // report, by which the two are told apart.
-type permitReport struct {
-	From  string       `cbor:"1,keyasint"`
-	Ask   *permitAsk   `cbor:"20,keyasint,omitempty"`
-	Grant *permitGrant `cbor:"21,keyasint,omitempty"`
+type directReport struct {
+	From  string        `cbor:"1,keyasint"`
+	Ask   *permitAsk    `cbor:"20,keyasint,omitempty"`
+	Grant *permitGrant  `cbor:"21,keyasint,omitempty"`
+	Begun []begunStream `cbor:"22,keyasint,omitempty"`
 }
 
 type permitAsk struct {
@@ -237,11 +240,14 @@
 	Permits  int    `cbor:"3,keyasint"`
 }
 
-// permitMessage delivers a datagram about permits.
-type permitMessage struct{ report permitReport }
+// directMessage delivers a datagram to this entry alone.
+type directMessage struct{ report directReport }
 
-func (m permitMessage) apply(c *control) {
+func (m directMessage) apply(c *control) {
 	now := c.front.now()
+	for _, b := range m.report.Begun {
+		c.origins.Learn(now, origin.Origin{Key: origin.Key(b.Key), Version: b.Version, Ambiguous: b.Ambiguous})
+	}
 	if a := m.report.Ask; a != nil {
 		if _, listed := c.born[a.Limit.Endpoint]; !listed {
 			return
--- a/daemon/front/list.go
+++ b/daemon/front/list.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/coord/staleness"
 )
@@ -10,9 +11,9 @@
 // endpointView is what requests are checked against just before they are sent. The control
 // goroutine publishes it as one immutable copy.
 type endpointView struct {
-	usable map[string]string // addresses of the endpoints that may get requests, by ID
-	known  bool              // the list was read at least once
-	asOf   time.Duration     // time up to which the list is complete
+	usable map[string]directory.Endpoint // that may get requests, by ID
+	known  bool                          // the list was read at least once
+	asOf   time.Duration                 // time up to which the list is complete
 	// storeOut is set if the list may be used whatever its age, since no entry can read it.
 	storeOut bool
 }
@@ -56,7 +57,8 @@
 	if f.listOutOfDate() {
 		return reasonListOld
 	}
-	if address, ok := f.endpointView.Load().usable[p.Endpoint]; !ok || address != p.Address {
+	e, ok := f.endpointView.Load().usable[p.Endpoint]
+	if !ok || e.Address != p.Address || e.Born != p.Born || e.Version != p.Version {
 		return reasonEndpointLeft
 	}
 	return ""
--- a/daemon/front/list_test.go
+++ b/daemon/front/list_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/daemon/peer/backend"
 )
@@ -44,7 +45,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer f.closeListeners()
 	placement := scheduler.Placement{Endpoint: "a", Address: "10.0.0.1:80"}
-	view := endpointView{known: true, asOf: f.now(), usable: map[string]string{"a": "10.0.0.1:80"}}
+	view := endpointView{known: true, asOf: f.now(), usable: map[string]directory.Endpoint{"a": {ID: "a", Address: "10.0.0.1:80"}}}
 	check := func(change func(*endpointView)) string {
 		changed := view
 		change(&changed)
@@ -56,5 +57,9 @@
 	g.Expect(check(old)).To(Equal(reasonListOld))
 	g.Expect(check(func(v *endpointView) { old(v); v.storeOut = true })).To(BeEmpty(), "nobody can read the list")
 	g.Expect(check(func(v *endpointView) { v.usable = nil })).To(Equal(reasonEndpointLeft))
-	g.Expect(check(func(v *endpointView) { v.usable = map[string]string{"a": "10.0.0.2:80"} })).To(Equal(reasonEndpointLeft), "another endpoint has the ID")
+	for name, other := range map[string]directory.Endpoint{
+		"moved": {Address: "10.0.0.2:80"}, "another incarnation": {Address: "10.0.0.1:80", Born: 2}, "another software version": {Address: "10.0.0.1:80", Version: "v2"},
+	} {
+		g.Expect(check(func(v *endpointView) { v.usable = map[string]directory.Endpoint{"a": other} })).To(Equal(reasonEndpointLeft), name)
+	}
 }
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -21,6 +21,7 @@
 	unusableConfigurations                   metric.Int64Counter
 	configurationVerdicts                    metric.Int64Counter
 	versionChanges                           metric.Int64Counter
+	streamsTakenUp                           metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
 }
 
@@ -42,6 +43,7 @@
 		limitChanges:           i.Counter("primrosespoke_endpoint_limit_changes", "{change}", "limits that endpoints named, changed or ended"),
 		rests:                  i.Counter("primrosespoke_endpoint_rests", "{rest}", "times that an endpoint asked this front to send nothing for a time"),
 		permits:                i.Counter("primrosespoke_permits_granted", "{permit}", "permits for requests to endpoints with a limit that were granted to other entries"),
+		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
 		unusableConfigurations: i.Counter("primrosespoke_unusable_configurations", "{version}", "versions of the configuration that could not be decoded"),
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -20,7 +20,8 @@
 const maxDatagramBytes = 60 << 10
 
 // levelsReportInterval is the number of full reports of which one carries the levels of
-// the usage caps. Only a front that has just started needs them.
+// the usage caps and the word on software versions. Only a front that has just started needs
+// them.
 const levelsReportInterval = 8
 
 // reportEncoding encodes floating-point numbers in the fewest bytes.
@@ -49,6 +50,7 @@
 	Limits          []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
 	ListMS          []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
 	ConfigurationMS []int64            `cbor:"14,keyasint,omitempty"` // the same of the configuration
+	Word            *versionWord       `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -122,12 +124,13 @@
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
 	if c.reporting.fullReports%levelsReportInterval == 0 {
 		r.Levels = c.limiter.Levels(now)
+		r.Word = c.encodeWord(now)
 	}
 	c.reporting.fullReports++
 	return r
 }
 
-// report sends a report, or a datagram about permits, to the named entries.
+// report sends a report, or a datagram to one entry alone, to the named entries.
 func (c *control) report(r any, names []string) {
 	data, err := reportEncoding.Marshal(r)
 	if err != nil {
@@ -173,17 +176,17 @@
 	}
 }
 
-// decodeDatagram decodes a report, or a datagram about permits.
+// decodeDatagram decodes a report, or a datagram to this entry alone.
 func decodeDatagram(data []byte) (message, error) {
-	var permits permitReport
-	if err := cbor.Unmarshal(data, &permits); err != nil {
+	var direct directReport
+	if err := cbor.Unmarshal(data, &direct); err != nil {
 		return nil, errors.Wrap(err, "datagram")
 	}
-	if permits.Ask != nil || permits.Grant != nil {
-		if permits.Ask != nil && !permits.Ask.usable() {
+	if direct.Ask != nil || direct.Grant != nil || direct.Begun != nil {
+		if direct.Ask != nil && !direct.Ask.usable() {
 			return nil, errors.New("datagram: ask for permits with amounts that are no numbers")
 		}
-		return permitMessage{permits}, nil
+		return directMessage{direct}, nil
 	}
 	var r report
 	if err := cbor.Unmarshal(data, &r); err != nil {
@@ -229,6 +232,9 @@
 	if r.From == c.front.config.ID || r.From == "" {
 		return
 	}
+	if known := c.members.all[r.From]; known != nil && known.Incarnation != r.Incarnation {
+		c.tellOrigins(c.origins.Running()...) // the incarnation before may have been their home
+	}
 	if c.members.recordReport(now, r.From, r.Address, r.Incarnation) {
 		c.membersChanged(now)
 	}
@@ -256,6 +262,9 @@
 			Age: age(r.ConfigurationMS[0]), Steady: age(r.ConfigurationMS[1]),
 		})
 	}
+	if r.Word != nil {
+		c.receiveWord(now, r.Word)
+	}
 	if len(r.Subjects) > 0 {
 		c.subjectsChanged(c.quarantine.Merge(now, decodeEvidence(r.Subjects)))
 	}
--- a/daemon/front/reports_test.go
+++ b/daemon/front/reports_test.go
@@ -25,6 +25,6 @@
 	g.Expect(r.Loads).To(Equal(map[string][2]int{"a": {0, maxReportedCount}}))
 	g.Expect(r.Limits).To(HaveExactElements(HaveField("Endpoint", "c")))
 	g.Expect(r.IntervalMS).To(Equal(maxReportInterval.Milliseconds()))
-	_, err = decodeDatagram(encode(permitReport{Ask: &permitAsk{Value: math.NaN()}}))
+	_, err = decodeDatagram(encode(directReport{Ask: &permitAsk{Value: math.NaN()}}))
 	g.Expect(err).To(HaveOccurred())
 }
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"primrosespoke.dev/coord/origin"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/daemon/peer/backend"
 )
@@ -148,15 +149,24 @@
 	return control.Flush() == nil
 }
 
-// recordVersion logs and counts a stream that goes on at another software version than before,
-// within this answer.
+// recordVersion records which software version the events come from. The first event of a stream
+// decides at which one it may go on.
 func (d *delivery) recordVersion(p scheduler.Placement) {
-	if d.eventsFrom != "" && d.eventsFrom != p.Endpoint && d.eventsVersion != p.Version {
-		d.front.log.Warn().Str("request_id", d.call.ID).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
-			Str("endpoint_before", d.eventsFrom).Str("version_before", d.eventsVersion).Msg("stream_version_changed")
+	if d.streamVersion == "" {
+		d.streamVersion, d.beganStream = p.Version, true
+		d.front.send(streamBegunMessage{key: d.originKey(), placement: p})
+	}
+	if d.streamVersion != p.Version {
+		d.front.log.Error().Str("request_id", d.call.ID).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
+			Str("endpoint_before", d.eventsFrom).Str("version_before", d.streamVersion).Msg("stream_version_changed")
 		d.front.metrics.versionChanges.Add(d.front.baseContext, 1)
 	}
-	d.eventsFrom, d.eventsVersion = p.Endpoint, p.Version
+	d.eventsFrom = p.Endpoint
+}
+
+// originKey returns the key under which a stream that begins with this attempt is known.
+func (d *delivery) originKey() origin.Key {
+	return origin.KeyOf(d.accountName(), d.call.ID)
 }
 
 // recordGap updates the longest time between two events of the stream.
