front, origin: a stream goes on at the service that began it

What callers would see: on a route with several services, a stream that began at one goes on at another one of the same version name, since a request that takes it up draws its service anew. Found by reading; the origin names the service now, and the request goes there where the route still allows it. Streams of routes that callers can't take up again are not told to other fronts.

--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -52,8 +52,8 @@
 // Origin says which version began a stream.
 type Origin struct {
 	Key Key
-	// Version is that of the endpoint's software.
-	Version string
+	// Service and Version are those of the endpoint's software.
+	Service, Version string
 	// Ambiguous is set if it may have been another one.
 	Ambiguous bool
 }
@@ -95,8 +95,8 @@
 
 // Begin records that an incarnation of an endpoint sent the first event of a stream of this
 // entry. It returns what the homes are to be told.
-func (l *Log) Begin(now time.Duration, k Key, endpoint string, born int64, version string) Origin {
-	r := l.put(now, Origin{Key: k, Version: version})
+func (l *Log) Begin(now time.Duration, o Origin, endpoint string, born int64) Origin {
+	r := l.put(now, o)
 	r.endpoint, r.born, r.running = endpoint, born, true
 	return r.Origin
 }
@@ -117,7 +117,7 @@
 // ambiguous.
 func (l *Log) put(now time.Duration, o Origin) *record {
 	if known := l.records[o.Key]; known != nil {
-		known.Ambiguous = known.Ambiguous || o.Ambiguous || known.Version != o.Version
+		known.Ambiguous = known.Ambiguous || o.Ambiguous || known.Version != o.Version || known.Service != o.Service
 		return known
 	}
 	r := &record{Origin: o, at: now}
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -43,6 +43,10 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+func begun(version string) origin.Origin {
+	return origin.Origin{Key: 1, Service: "svc", Version: version}
+}
+
 // An ID that is used twice, or an endpoint that started anew as another version while it
 // answered, leaves open which version began the stream.
 func TestOriginWithTwoVersionsIsAmbiguous(t *testing.T) {
@@ -50,18 +54,22 @@
 		change    func(l *origin.Log) []origin.Origin
 		ambiguous bool
 	}{
-		"begun again at the same version": {func(l *origin.Log) []origin.Origin { l.Begin(second, 1, "f", 1, "v1"); return nil }, false},
-		"begun again at another version":  {func(l *origin.Log) []origin.Origin { l.Begin(second, 1, "f", 1, "v2"); return nil }, true},
+		"begun again at the same version": {func(l *origin.Log) []origin.Origin { l.Begin(second, begun("v1"), "f", 1); return nil }, false},
+		"begun again at another version":  {func(l *origin.Log) []origin.Origin { l.Begin(second, begun("v2"), "f", 1); return nil }, true},
 		"another word":                    {func(l *origin.Log) []origin.Origin { l.Learn(second, origin.Origin{Key: 1, Version: "v2"}); return nil }, true},
-		"listed as the same incarnation":  {func(l *origin.Log) []origin.Origin { return l.Listed("e", 7, "v1") }, false},
-		"reborn as the same version":      {func(l *origin.Log) []origin.Origin { return l.Listed("e", 8, "v1") }, false},
-		"reborn as another version":       {func(l *origin.Log) []origin.Origin { return l.Listed("e", 8, "v2") }, true},
-		"another endpoint":                {func(l *origin.Log) []origin.Origin { return l.Listed("f", 8, "v2") }, false},
+		"begun again at another service": {func(l *origin.Log) []origin.Origin {
+			l.Begin(second, origin.Origin{Key: 1, Service: "other", Version: "v1"}, "f", 1)
+			return nil
+		}, true},
+		"listed as the same incarnation": {func(l *origin.Log) []origin.Origin { return l.Listed("e", 7, "v1") }, false},
+		"reborn as the same version":     {func(l *origin.Log) []origin.Origin { return l.Listed("e", 8, "v1") }, false},
+		"reborn as another version":      {func(l *origin.Log) []origin.Origin { return l.Listed("e", 8, "v2") }, true},
+		"another endpoint":               {func(l *origin.Log) []origin.Origin { return l.Listed("f", 8, "v2") }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			l := origin.NewLog(origin.DefaultConfig())
-			l.Begin(0, 1, "e", 7, "v1")
+			l.Begin(0, begun("v1"), "e", 7)
 			changed := c.change(l)
 			o, ok := l.Lookup(second, 1)
 			g.Expect(ok).To(BeTrue())
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -48,7 +48,7 @@
 	lastEvent           string          // ID of the last event that the caller was sent
 	eventsFrom          string          // the endpoint that sent the last event
 	streamVersion       string          // of the software that began the stream; empty = it has not begun
-	beganStream         bool            // its first event came here
+	beganStream         bool            // its first event came here, and callers may take it up again
 	heldFailure         *answer         // an endpoint's failure, which the caller gets if no further attempt succeeds
 	lastEndpoint        string          // of the last placement
 	firstByteAt         time.Duration   // when an endpoint's answer began to be sent to the caller
--- a/daemon/front/limits.go
+++ b/daemon/front/limits.go
@@ -246,7 +246,7 @@
 func (m directMessage) apply(c *control) {
 	now := c.front.now()
 	for _, b := range m.report.Begun {
-		c.origins.Learn(now, origin.Origin{Key: origin.Key(b.Key), Version: b.Version, Ambiguous: b.Ambiguous})
+		c.origins.Learn(now, origin.Origin{Key: origin.Key(b.Key), Service: b.Service, Version: b.Version, Ambiguous: b.Ambiguous})
 	}
 	if a := m.report.Ask; a != nil {
 		if _, listed := c.born[a.Limit.Endpoint]; !listed {
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -58,6 +58,9 @@
 		return d.refuseUnavailable(reasonOriginUnknown, staleRetryAfter)
 	}
 	d.streamVersion = found.Version
+	if d.admission.Route.Allows(found.Service) {
+		d.service = found.Service // of a route with several services, the one that began it
+	}
 	return ""
 }
 
@@ -90,7 +93,7 @@
 	select {
 	case version := <-reply:
 		if version != "" {
-			return origin.Origin{Version: version}, "sole_version"
+			return origin.Origin{Service: d.service, Version: version}, "sole_version"
 		}
 	case <-d.requestContext.Done():
 	case <-d.front.stopped:
@@ -135,7 +138,7 @@
 	}
 	for range addresses {
 		if reply := <-replies; reply.Known {
-			return origin.Origin{Key: key, Version: reply.Version, Ambiguous: reply.Ambiguous}, true
+			return origin.Origin{Key: key, Service: reply.Service, Version: reply.Version, Ambiguous: reply.Ambiguous}, true
 		}
 	}
 	return origin.Origin{}, false
@@ -147,7 +150,7 @@
 	s.front.send(originMessage{key: origin.Key(req.Key), reply: reply})
 	select {
 	case known := <-reply:
-		return &nodepb.OriginReply{Known: known.found, Ambiguous: known.origin.Ambiguous, Version: known.origin.Version}, nil
+		return &nodepb.OriginReply{Known: known.found, Ambiguous: known.origin.Ambiguous, Version: known.origin.Version, Service: known.origin.Service}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-s.front.stopped:
@@ -184,12 +187,13 @@
 // brought it.
 type streamBegunMessage struct {
 	key       origin.Key
+	service   string
 	placement scheduler.Placement
 }
 
 func (m streamBegunMessage) apply(c *control) {
 	p := m.placement
-	c.tellOrigins(c.origins.Begin(c.front.now(), m.key, p.Endpoint, p.Born, p.Version))
+	c.tellOrigins(c.origins.Begin(c.front.now(), origin.Origin{Key: m.key, Service: m.service, Version: p.Version}, p.Endpoint, p.Born))
 }
 
 // streamEndedMessage reports that a caller's stream, which began here, has ended.
@@ -213,7 +217,7 @@
 	byHome := map[string][]begunStream{}
 	for _, o := range c.untoldOrigins {
 		for _, home := range origin.Homes(o.Key, heard, originHomes) {
-			byHome[home] = append(byHome[home], begunStream{Key: uint64(o.Key), Version: o.Version, Ambiguous: o.Ambiguous})
+			byHome[home] = append(byHome[home], begunStream{Key: uint64(o.Key), Service: o.Service, Version: o.Version, Ambiguous: o.Ambiguous})
 		}
 	}
 	c.untoldOrigins = c.untoldOrigins[:0]
@@ -234,6 +238,7 @@
 	Key       uint64 `cbor:"1,keyasint"`
 	Version   string `cbor:"2,keyasint"`
 	Ambiguous bool   `cbor:"3,keyasint,omitempty"`
+	Service   string `cbor:"4,keyasint"`
 }
 
 // soleVersionQuery asks which version was the only one of a service for a time.
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -153,8 +153,10 @@
 // decides at which one it may go on.
 func (d *delivery) recordVersion(p scheduler.Placement) {
 	if d.streamVersion == "" {
-		d.streamVersion, d.beganStream = p.Version, true
-		d.front.send(streamBegunMessage{key: d.originKey(), placement: p})
+		d.streamVersion, d.beganStream = p.Version, d.admission.Route.Resumable
+		if d.beganStream {
+			d.front.send(streamBegunMessage{key: d.originKey(), service: d.service, placement: p})
+		}
 	}
 	if d.streamVersion != p.Version {
 		d.front.log.Error().Str("request_id", d.call.ID).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
