front: after a configuration that took long to arrive the next read does not wait

Cause: a version that takes 2 s on the link is 2 s old when it is in force, and the next read waited up to half of the bound for a change before it proved anything newer.

Change: what is older than half of the bound when it arrives is followed by a read that does not wait. A hedged read has its own time to the first byte, from its start.

--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -120,11 +120,16 @@
 // version, shows which version was the newest when the read began.
 func (f *Front) followConfiguration(ctx context.Context) {
 	w := newFollower(f, TopicConfiguration)
+	wait := f.config.Timing.ConfigurationWait
 	for ctx.Err() == nil {
-		got, ok := w.read(ctx, f.config.Timing.ConfigurationWait)
+		got, ok := w.read(ctx, wait)
 		if !ok {
 			continue
 		}
+		// What took long to arrive is old already, so the next read must not wait for a change.
+		if wait = f.config.Timing.ConfigurationWait; f.now()-got.asOf > f.configurationRefreshAge() {
+			wait = 0
+		}
 		if got.Partial() {
 			w.next.number = -1 // the versions before the newest one need not be read
 		}
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -322,8 +322,6 @@
 	first := f.now()
 	firstContext, cancelFirst := progress.WithLimits(ctx, f.readLimits(wait))
 	defer cancelFirst()
-	secondContext, cancelSecond := progress.WithLimits(ctx, f.readLimits(wait))
-	defer cancelSecond()
 	go read(firstContext, wait, false)
 	hedge := time.NewTimer(wait + f.hedgeDelay(topic))
 	defer hedge.Stop()
@@ -336,6 +334,8 @@
 		case <-hedge.C:
 			f.send(readFailedMessage{topic: topic, sentAt: first + wait})
 			inProgress++
+			secondContext, cancelSecond := progress.WithLimits(ctx, f.readLimits(0))
+			defer cancelSecond() // once at most, since the timer is not reset
 			go read(secondContext, 0, true)
 		case o := <-outcomes:
 			if inProgress--; o.err == nil || inProgress == 0 {
