origin, front: origins and histories reach as far back as callers may try

What callers would see: on a route whose timeout exceeds 2.5 minutes, a stream that goes on at another software version: the history forgot a version after 5 minutes and called the other one sole, and origins were forgotten after one minute. Found by reading; on the users' sites timeouts are 15 s.

Change: no version is sole for longer than the history reaches (10 minutes), and origins are kept for twice the longest timeout of the routes.

Evidence: TestNoVersionIsSoleForLongerThanTheHistoryReaches, and the test of retention.

--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -93,6 +93,11 @@
 	return &Log{cfg: cfg, records: map[Key]*record{}}
 }
 
+// SetRetention changes how long an origin is kept.
+func (l *Log) SetRetention(d time.Duration) {
+	l.cfg.Retention = d
+}
+
 // Begin records that an incarnation of an endpoint sent the first event of a stream of this
 // entry. It returns what the homes are to be told.
 func (l *Log) Begin(now time.Duration, o Origin, endpoint string, born int64) Origin {
@@ -206,8 +211,9 @@
 	current map[string][]string                 // versions of the last observation, by service
 }
 
-// historyRetention is how long a version that is not listed any more is remembered.
-const historyRetention = 5 * time.Minute
+// historyRetention is how long a version that is not listed any more is remembered. A longer time
+// can't be vouched for.
+const historyRetention = 10 * time.Minute
 
 // NewHistory returns an empty history. Two reads of the list that are further apart than maxGap
 // may have missed an endpoint.
@@ -291,6 +297,9 @@
 // endpoint is listed before it gets its first request, so that version began every stream of
 // the time, wherever it began.
 func (h *History) SoleVersion(service string, at, before time.Duration) (string, Verdict) {
+	if before > historyRetention {
+		return "", Several
+	}
 	sole := ""
 	for version, seen := range h.listed[service] {
 		if seen < at-before {
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -39,7 +39,10 @@
 	o, ok := l.Lookup(5*second, 2)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(o.Version).To(Equal("v1"))
+	l.SetRetention(11 * second)
 	_, ok = l.Lookup(12*second, 2)
+	g.Expect(ok).To(BeTrue())
+	_, ok = l.Lookup(13*second, 2)
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -106,6 +109,23 @@
 	})
 }
 
+// What is forgotten can't be vouched for, however long the callers of a route may try.
+func TestNoVersionIsSoleForLongerThanTheHistoryReaches(t *testing.T) {
+	g := NewWithT(t)
+	h := origin.NewHistory(maxGap)
+	for s := int64(0); s < 4000; s++ {
+		names := []string{"v1"}
+		if s < 100 {
+			names = append(names, "v0")
+		}
+		h.Observe(time.Duration(s)*second, origin.Position{Offset: s}, versions(names...))
+	}
+	for lifetime, want := range map[time.Duration]origin.Verdict{time.Minute: origin.Sole, time.Hour: origin.Several, 2 * time.Hour: origin.Several} {
+		_, verdict := h.SoleVersion("svc", 3999*second, lifetime)
+		g.Expect(verdict).To(Equal(want), "for %v", lifetime)
+	}
+}
+
 func versions(names ...string) map[string][]string {
 	return map[string][]string{"svc": names}
 }
--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -176,6 +176,17 @@
 	return names
 }
 
+// EachRoute yields all routes, in no order. They must not be changed.
+func (t *Table) EachRoute(yield func(*Route) bool) {
+	for _, list := range t.byHost {
+		for i := range list {
+			if !yield(&list[i]) {
+				return
+			}
+		}
+	}
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	n := 0
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -397,6 +397,7 @@
 	}
 	c.caps = caps
 	c.limiter.SetCaps(c.front.now(), caps)
+	c.retainOrigins(t.EachRoute)
 }
 
 // logTable logs a version that was put into force, and how it came.
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -208,6 +209,17 @@
 	c.untoldOrigins = append(c.untoldOrigins, origins...)
 }
 
+// retainOrigins keeps origins for as long as callers of any route may take their streams up.
+func (c *control) retainOrigins(routes iter.Seq[*routing.Route]) {
+	longest := origin.DefaultConfig().Retention
+	for r := range routes {
+		if r.Resumable {
+			longest = max(longest, streamLifetime(r))
+		}
+	}
+	c.origins.SetRetention(longest)
+}
+
 // sendOrigins tells the homes of streams which version began them.
 func (c *control) sendOrigins(now time.Duration) {
 	if len(c.untoldOrigins) == 0 {
