front: origins of streams wait until another entry is heard

What callers would see: 503 for a stream that began at a front before it had heard another one, when that front is killed. Its homes are chosen among the fronts that are heard, so nobody was told. Found by reading. Origins wait now, 16,384 at most.

--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -204,9 +204,13 @@
 	c.origins.End(m.key)
 }
 
+// maxUntoldOrigins bounds the origins that wait for another entry to be heard.
+const maxUntoldOrigins = 1 << 14
+
 // tellOrigins queues origins for their homes.
 func (c *control) tellOrigins(origins ...origin.Origin) {
 	c.untoldOrigins = append(c.untoldOrigins, origins...)
+	c.untoldOrigins = c.untoldOrigins[max(len(c.untoldOrigins)-maxUntoldOrigins, 0):]
 }
 
 // retainOrigins keeps origins for as long as callers of any route may take their streams up.
@@ -226,6 +230,9 @@
 		return
 	}
 	heard := c.members.heard(now)
+	if len(heard) == 0 && len(c.members.all) > 0 {
+		return // kept until another entry is heard
+	}
 	byHome := map[string][]begunStream{}
 	for _, o := range c.untoldOrigins {
 		for _, home := range origin.Homes(o.Key, heard, originHomes) {
