--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -151,7 +151,7 @@
 	// ReasonNoEndpoint: no endpoint of the service is usable.
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests.
-	ReasonNoVersion Reason = "no_endpoint_of_the_stream's_version"
+	ReasonNoVersion Reason = "no_endpoint_of_version"
 )
 
 // Refusal is the decision to turn away a request that was not sent to an endpoint.
