--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -7,7 +7,7 @@
 // stream whose origin nobody knows may still go on if only one version was listed for as long
 // as any of its callers' streams can last (History). Otherwise it must not.
 //
-// A word that is lost or late costs the stream and never mixes versions.
+// A message that is lost or late costs the stream and never mixes versions.
 //
 // The package has no I/O, clock or goroutine. Times are offsets on a single clock that the
 // caller chooses.
@@ -113,7 +113,7 @@
 	}
 }
 
-// Learn records the word of another entry.
+// Learn records what another entry announced.
 func (l *Log) Learn(now time.Duration, o Origin) {
 	l.put(now, o)
 }
@@ -188,8 +188,8 @@
 	Era, Offset int64
 }
 
-// Word is what one entry tells the others about the versions that it saw listed.
-type Word struct {
+// Summary is what one entry tells the others about the versions that it saw listed.
+type Summary struct {
 	// Since is since when it has followed the list without a gap, and To the place up to which.
 	// Places and not times show that nothing lies between it and what the receiver saw.
 	Since time.Duration
@@ -258,9 +258,9 @@
 	}
 }
 
-// Extend adds what another entry saw before this one began to follow the list. A word that
+// Extend adds what another entry saw before this one began to follow the list. A summary that
 // leaves a gap between the two is of no use.
-func (h *History) Extend(w Word) {
+func (h *History) Extend(w Summary) {
 	if !h.known || w.Since >= h.since || w.To.Era != h.from.Era || w.To.Offset < h.from.Offset {
 		return
 	}
@@ -268,9 +268,9 @@
 	h.add(w.Versions)
 }
 
-// Word returns what this entry tells the others, and false if it never read the list.
-func (h *History) Word() (Word, bool) {
-	w := Word{Since: max(h.since, h.asOf-historyRetention), To: h.to, Versions: map[string][]string{}}
+// Summary returns what this entry tells the others, and false if it never read the list.
+func (h *History) Summary() (Summary, bool) {
+	w := Summary{Since: max(h.since, h.asOf-historyRetention), To: h.to, Versions: map[string][]string{}}
 	for service, last := range h.listed {
 		for version := range last {
 			w.Versions[service] = append(w.Versions[service], version)
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -59,7 +59,7 @@
 	}{
 		"begun again at the same version": {func(l *origin.Log) []origin.Origin { l.Begin(second, begun("v1"), "f", 1); return nil }, false},
 		"begun again at another version":  {func(l *origin.Log) []origin.Origin { l.Begin(second, begun("v2"), "f", 1); return nil }, true},
-		"another word":                    {func(l *origin.Log) []origin.Origin { l.Learn(second, origin.Origin{Key: 1, Version: "v2"}); return nil }, true},
+		"another announcement":            {func(l *origin.Log) []origin.Origin { l.Learn(second, origin.Origin{Key: 1, Version: "v2"}); return nil }, true},
 		"begun again at another service": {func(l *origin.Log) []origin.Origin {
 			l.Begin(second, origin.Origin{Key: 1, Service: "other", Version: "v1"}, "f", 1)
 			return nil
@@ -137,8 +137,8 @@
 			h.Observe(time.Duration(s)*second, origin.Position{Era: 1, Offset: int64(s)}, versions(names...))
 		}
 	}
-	word := func(since, to int, names ...string) origin.Word {
-		return origin.Word{Since: time.Duration(since) * second, To: origin.Position{Era: 1, Offset: int64(to)}, Versions: versions(names...)}
+	summary := func(since, to int, names ...string) origin.Summary {
+		return origin.Summary{Since: time.Duration(since) * second, To: origin.Position{Era: 1, Offset: int64(to)}, Versions: versions(names...)}
 	}
 	for name, c := range map[string]struct {
 		see     func(h *origin.History)
@@ -153,13 +153,13 @@
 		"another one has just gone":         {func(h *origin.History) { follow(h, 0, 11, "v0", "v1"); follow(h, 12, 20, "v1") }, 20, origin.Several},
 		"another one is long gone":          {func(h *origin.History) { follow(h, 0, 5, "v0"); follow(h, 6, 20, "v1") }, 20, origin.Sole},
 		"a gap":                             {func(h *origin.History) { follow(h, 0, 11, "v1"); follow(h, 15, 20, "v1") }, 20, origin.Several},
-		"another entry saw what was before": {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(word(0, 14, "v1")) }, 20, origin.Sole},
-		"another entry saw two":             {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(word(0, 14, "v0", "v1")) }, 20, origin.Several},
-		"a word that ends before":           {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(word(0, 11, "v1")) }, 20, origin.Several},
-		"a word that begins too late":       {func(h *origin.History) { follow(h, 15, 20, "v1"); h.Extend(word(12, 16, "v1")) }, 20, origin.Several},
-		"a word of another era": {func(h *origin.History) {
+		"another entry saw what was before": {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(summary(0, 14, "v1")) }, 20, origin.Sole},
+		"another entry saw two":             {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(summary(0, 14, "v0", "v1")) }, 20, origin.Several},
+		"a summary that ends before":        {func(h *origin.History) { follow(h, 12, 20, "v1"); h.Extend(summary(0, 11, "v1")) }, 20, origin.Several},
+		"a summary that begins too late":    {func(h *origin.History) { follow(h, 15, 20, "v1"); h.Extend(summary(12, 16, "v1")) }, 20, origin.Several},
+		"a summary of another era": {func(h *origin.History) {
 			follow(h, 12, 20, "v1")
-			w := word(0, 14, "v1")
+			w := summary(0, 14, "v1")
 			w.To.Era = 0
 			h.Extend(w)
 		}, 20, origin.Several},
@@ -206,7 +206,7 @@
 					}
 					histories[i].Observe(now, origin.Position{Offset: int64(s)}, versions(names...))
 				}
-				if w, ok := histories[i].Word(); ok && rapid.Bool().Draw(t, "tells") {
+				if w, ok := histories[i].Summary(); ok && rapid.Bool().Draw(t, "tells") {
 					if to := histories[(i+1)%3]; to != nil {
 						to.Extend(w)
 					}
--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -55,7 +55,7 @@
 	f.Add(encode(directReport{From: "front-2", Ask: &permitAsk{Limit: limitState{Endpoint: "a", Born: 1, Limited: true, Rate: math.Inf(1)}, Requests: math.MaxInt, Value: math.NaN(), Received: math.MinInt}}))
 	f.Add(encode(directReport{From: "front-2", Grant: &permitGrant{Endpoint: "a", Born: 1, Permits: math.MaxInt}}))
 	f.Add(encode(directReport{From: "front-2", Begun: []begunStream{{Key: math.MaxUint64, Service: "svc", Version: "v1", Ambiguous: true}, {}}}))
-	f.Add(encode(report{From: "front-2", Word: &versionWord{SinceMS: math.MinInt64, Era: math.MaxInt64, Offset: -1, Versions: map[string][]string{"": nil}}}))
+	f.Add(encode(report{From: "front-2", Listed: &versionSummary{SinceMS: math.MinInt64, Era: math.MaxInt64, Offset: -1, Versions: map[string][]string{"": nil}}}))
 	f.Add([]byte{0xa1, 0x14, 0xf6})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		g := NewWithT(t)
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -304,22 +304,22 @@
 	c.answerSoleQueries(c.front.now())
 }
 
-// versionWord is what an entry tells of the versions that it saw listed; see origin.Word.
-type versionWord struct {
+// versionSummary is what an entry tells of the versions that it saw listed; see origin.Summary.
+type versionSummary struct {
 	SinceMS  int64               `cbor:"1,keyasint"` // how long ago it began to follow the list
 	Era      int64               `cbor:"2,keyasint,omitempty"`
 	Offset   int64               `cbor:"3,keyasint"`
 	Versions map[string][]string `cbor:"4,keyasint"` // by service
 }
 
-func (c *control) encodeWord(now time.Duration) *versionWord {
-	w, known := c.versions.Word()
+func (c *control) encodeVersions(now time.Duration) *versionSummary {
+	w, known := c.versions.Summary()
 	if !known {
 		return nil
 	}
-	return &versionWord{SinceMS: (now - w.Since).Milliseconds(), Era: w.To.Era, Offset: w.To.Offset, Versions: w.Versions}
+	return &versionSummary{SinceMS: (now - w.Since).Milliseconds(), Era: w.To.Era, Offset: w.To.Offset, Versions: w.Versions}
 }
 
-func (c *control) receiveWord(now time.Duration, w *versionWord) {
-	c.versions.Extend(origin.Word{Since: now - age(w.SinceMS), To: origin.Position{Era: w.Era, Offset: w.Offset}, Versions: w.Versions})
+func (c *control) receiveVersions(now time.Duration, w *versionSummary) {
+	c.versions.Extend(origin.Summary{Since: now - age(w.SinceMS), To: origin.Position{Era: w.Era, Offset: w.Offset}, Versions: w.Versions})
 }
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -166,9 +166,9 @@
 	return true
 }
 
-// fetch reads a topic from an offset on. It reads
-// from the first parent that answers, or else from the store. The list of endpoints and the
-// configuration are read from other fronts with recent ones if the store can't be read.
+// fetch reads a topic from an offset on, from the first parent that answers or else from the
+// store. The list of endpoints and the configuration are read from other fronts with recent
+// copies if the store can't be read.
 func (f *Front) fetch(ctx context.Context, topic Topic, from offset, wait time.Duration) (fetchResult, error) {
 	got, ok := f.fetchFrom(ctx, f.relay.usableParents(f.now()), topic, from, wait)
 	if ok {
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -20,7 +20,7 @@
 const maxDatagramBytes = 60 << 10
 
 // levelsReportInterval is the number of full reports of which one carries the levels of
-// the usage caps and the word on software versions. Only a front that has just started needs
+// the usage caps and the software versions that were listed. Only a front that has just started needs
 // them.
 const levelsReportInterval = 8
 
@@ -50,7 +50,7 @@
 	Limits          []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
 	ListMS          []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
 	ConfigurationMS []int64            `cbor:"14,keyasint,omitempty"` // the same of the configuration
-	Word            *versionWord       `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
+	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -124,7 +124,7 @@
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
 	if c.reporting.fullReports%levelsReportInterval == 0 {
 		r.Levels = c.limiter.Levels(now)
-		r.Word = c.encodeWord(now)
+		r.Listed = c.encodeVersions(now)
 	}
 	c.reporting.fullReports++
 	return r
@@ -262,8 +262,8 @@
 			Age: age(r.ConfigurationMS[0]), Steady: age(r.ConfigurationMS[1]),
 		})
 	}
-	if r.Word != nil {
-		c.receiveWord(now, r.Word)
+	if r.Listed != nil {
+		c.receiveVersions(now, r.Listed)
 	}
 	if len(r.Subjects) > 0 {
 		c.subjectsChanged(c.quarantine.Merge(now, decodeEvidence(r.Subjects)))
