front, backend, platform: endpoints state their incarnation before a stream is sent to them

Cause: the version of a stream was that of the row at the placement, and nothing showed that the process which answered was the one of the row. An answer names the request and the endpoint's ID, not its start.

Change: a connection belongs to one process for as long as it lives. On a new one that is to carry a stream which may go on elsewhere, the front asks for /api/report first. Unless it states the listed start, nothing is sent and the request is placed elsewhere, so that no sound stream is refused for it. This also covers the other direction, a stream that is taken up at an endpoint which is another version than listed.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -96,6 +96,11 @@
 		conn.Close()
 		return result, scheduler.Abandoned
 	}
+	if reason, outcome := d.checkIncarnation(p, conn); reason != "" {
+		conn.Close()
+		d.front.metrics.placementVoid(reason)
+		return attemptResult{kind: notSent, reason: reason}, outcome
+	}
 	if reason := d.checkPlacement(p); reason != "" {
 		conn.Close()
 		d.front.metrics.placementVoid(reason)
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -85,6 +85,12 @@
 	RequestHeader(c *Call, a Attempt) http.Header
 	// ReadHead decodes the status and headers of an endpoint's answer.
 	ReadHead(status int, h http.Header) Head
+	// IncarnationRequest returns the method and the URI of the request for what an endpoint says
+	// of itself. It is answered without a run.
+	IncarnationRequest() (method, uri string)
+	// ReadIncarnation returns which incarnation of the endpoint such an answer states, as
+	// directory.Endpoint.Born; false = none.
+	ReadIncarnation(body []byte) (born int64, ok bool)
 	// RequestIDHeader returns the name of the header with the request ID.
 	RequestIDHeader() string
 }
--- a/daemon/peer/backend/conn.go
+++ b/daemon/peer/backend/conn.go
@@ -47,6 +47,8 @@
 	reusableUntil time.Time // end of the idle time, while the connection is unused
 	reused        bool
 	notReusable   bool // an answer to another request arrived
+	identified    bool
+	incarnation   int64 // that the endpoint states of itself, if identified
 	// writeResult receives the result of writing a request in another goroutine; nil if
 	// the request was written directly.
 	writeResult chan error
@@ -83,6 +85,22 @@
 	return c.reused
 }
 
+// Address returns the address of the endpoint.
+func (c *Conn) Address() string {
+	return c.address
+}
+
+// SetIncarnation records which incarnation of the endpoint has the connection. It holds until the
+// connection is closed, since a connection does not outlive the process that accepted it.
+func (c *Conn) SetIncarnation(incarnation int64) {
+	c.identified, c.incarnation = true, incarnation
+}
+
+// Incarnation returns what SetIncarnation recorded; false = nothing.
+func (c *Conn) Incarnation() (int64, bool) {
+	return c.incarnation, c.identified
+}
+
 // Close closes the connection.
 func (c *Conn) Close() {
 	// The connection is not used again, so an error of Close has no consequence.
@@ -200,6 +218,26 @@
 // Release returns the connection to the pool after the whole answer was read. It closes
 // the connection instead if another request must not be sent on it.
 func (c *Conn) Release(resp *http.Response) {
+	if !c.reusable(resp) {
+		c.Close()
+		return
+	}
+	c.reusableUntil = time.Now().Add(c.idleTimeout(resp.Header))
+	c.pool.putIdle(c)
+}
+
+// Keep prepares the connection for another request of the same user, after the whole answer was
+// read. It returns false, and closes the connection, if another request must not be sent on it.
+func (c *Conn) Keep(resp *http.Response) bool {
+	if !c.reusable(resp) {
+		c.Close()
+		return false
+	}
+	c.writeResult = nil
+	return true
+}
+
+func (c *Conn) reusable(resp *http.Response) bool {
 	sent := true
 	if c.writeResult != nil {
 		select {
@@ -209,12 +247,7 @@
 			sent = false
 		}
 	}
-	if !sent || c.notReusable || resp.Close || IsCloseDelimited(resp) || c.reader.Buffered() > 0 || !resp.ProtoAtLeast(1, 1) {
-		c.Close()
-		return
-	}
-	c.reusableUntil = time.Now().Add(c.idleTimeout(resp.Header))
-	c.pool.putIdle(c)
+	return sent && !c.notReusable && !resp.Close && !IsCloseDelimited(resp) && c.reader.Buffered() == 0 && resp.ProtoAtLeast(1, 1)
 }
 
 // idleTimeout returns how long the connection may stay unused: a fraction of the timeout
