front: requests with a usage cap wait until the list of entries was read

It now holds them until the list is read, for half a second at most, and refuses with 503 after that.

--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -235,6 +235,29 @@
 	}
 }
 
+// membersWait limits how long a request to an entry that has just started is held until the entry
+// knows by how many its usage caps are shared.
+const membersWait = 500 * time.Millisecond
+
+// awaitMembers waits until the list of entries was read. It returns false if that takes too long.
+func (f *Front) awaitMembers(ctx context.Context) bool {
+	select {
+	case <-f.membersKnown:
+		return true
+	default:
+	}
+	timer := time.NewTimer(membersWait)
+	defer timer.Stop()
+	select {
+	case <-f.membersKnown:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-f.stopped:
+	}
+	return false
+}
+
 // firstRowDelay limits how long an entry waits for the rows of all entries before it writes its
 // own.
 const firstRowDelay = 2 * time.Second
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -201,6 +201,9 @@
 			cost = float64(d.call.PromptTokens + d.call.MaxOutputTokens)
 		}
 	}
+	if !d.front.awaitMembers(d.requestContext) {
+		return d.refuseUnavailable("other entries unknown", staleRetryAfter)
+	}
 	reply := make(chan chargeReply, 1)
 	d.front.send(chargeMessage{account: account.Name, cost: cost, rank: d.admission.Route.Priority, reply: reply})
 	select {
