scheduler: groups of entries and endpoints by bounded rendezvous hashing

One front or endpoint more shifted the groups of many others.

Cause: groups were positions in a sorted list, and there were either as many parts of the endpoints as groups of entries or one.

Change: rendezvous hashing among the groups that have room; sizes differ by one at most. A service with too few endpoints for all groups has fewer and larger parts. The division of endpoints is kept until their IDs change.

--- a/coord/scheduler/groups.go
+++ b/coord/scheduler/groups.go
@@ -34,11 +34,10 @@
 // Group returns the names of the other entries in this entry's group; all others if
 // there is only one group.
 func (s *Scheduler) Group() []string {
-	groups := groupCount(len(s.entries))
-	own := groupIndex(slices.Index(s.entries, s.self), len(s.entries), groups)
+	group := assignGroups(s.entries, groupCount(len(s.entries)))
 	var names []string
-	for i, name := range s.entries {
-		if name != s.self && groupIndex(i, len(s.entries), groups) == own {
+	for _, name := range s.entries {
+		if name != s.self && group[name] == group[s.self] {
 			names = append(names, name)
 		}
 	}
@@ -46,28 +45,70 @@
 }
 
 // assignToGroups marks the endpoints of one service that do not belong to this entry's
-// group.
-func (s *Scheduler) assignToGroups(list []*endpoint) {
+// group. Where there are too few for all groups, the entries form fewer and larger ones for it.
+func (s *Scheduler) assignToGroups(service string, list []*endpoint) {
 	groups := groupCount(len(s.entries))
-	undivided := groups == 1 || len(list) < groups*minGroupEndpoints
+	parts := min(groups, max(len(list)/minGroupEndpoints, 1))
+	own := assignGroups(s.entries, parts)[s.self]
 	ids := make([]string, len(list))
 	for i, e := range list {
 		ids[i] = e.ID
 	}
-	ids = sortByHash(ids)
-	own := groupIndex(slices.Index(s.entries, s.self), len(s.entries), groups)
+	part := s.partsOf(service, ids, parts)
 	for _, e := range list {
-		e.outsideGroup = !undivided && groupIndex(slices.Index(ids, e.ID), len(ids), groups) != own
+		e.outsideGroup = parts > 1 && part[e.ID] != own
 	}
 }
 
+// endpointParts is how the endpoints of a service were divided.
+type endpointParts struct {
+	ids   []string
+	parts int
+	part  map[string]int
+}
+
+// partsOf divides endpoints into parts. It keeps the result, since lists change more often than
+// the endpoints on them.
+func (s *Scheduler) partsOf(service string, ids []string, parts int) map[string]int {
+	if known, ok := s.parts[service]; ok && known.parts == parts && slices.Equal(known.ids, ids) {
+		return known.part
+	}
+	s.parts[service] = endpointParts{ids: ids, parts: parts, part: assignGroups(slices.Clone(ids), parts)}
+	return s.parts[service].part
+}
+
 func groupCount(entries int) int {
 	return max(entries/minGroupEntries, 1)
 }
 
-// groupIndex returns the group of the item at a position, so that count items form groups of even size.
-func groupIndex(position, count, groups int) int {
-	return position * groups / max(count, 1)
+// assignGroups divides names into groups of even size: each has as many as any other, or one
+// more. Rendezvous hashing chooses among the groups that have room, so that one name or one group
+// that comes or goes moves few names.
+func assignGroups(names []string, groups int) map[string]int {
+	assigned := make(map[string]int, len(names))
+	if groups <= 1 {
+		return assigned
+	}
+	least, larger := len(names)/groups, len(names)%groups
+	sizes := make([]int, groups)
+	for _, name := range sortByHash(names) {
+		hash := hashName(name)
+		best, bestScore := -1, uint64(0)
+		for g := range groups {
+			if sizes[g] > least || sizes[g] == least && larger == 0 {
+				continue
+			}
+			if score := mix(hash ^ mix(uint64(g)+1)); best < 0 || score > bestScore {
+				best, bestScore = g, score
+			}
+		}
+		if sizes[best] == least {
+			larger--
+		}
+		sizes[best]++
+		assigned[name] = best
+	}
+	return assigned
 }
 
 // sortByHash sorts names by their hashes, so that neighbours in the order have nothing in
@@ -82,9 +123,14 @@
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, name) // writing to a hash never fails
-	x := h.Sum64()
-	// FNV hashes of names with the same ending differ in few bits only.
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash: FNV hashes of names with the same ending differ in few bits only.
+func mix(x uint64) uint64 {
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	entries        []string // names of all entries, sorted by hash
 	endpoints      map[string]*endpoint
 	byService      map[string][]*endpoint // sorted by ID; nil = to be rebuilt
+	parts          map[string]endpointParts
 	services       map[string]ServiceInfo
 	runs           map[uint64]*run       // by request ID
 	queues         map[string][]*Request // waiting requests by service
@@ -94,8 +95,8 @@
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
 		queues: map[string][]*Request{}, meanSizes: map[classKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refusalRates: map[classKey]float64{}, placementRates: map[classKey]*placementRates{}, refusedWork: map[string]*refusedWork{},
-		pacers: map[string]*pacer{},
-		gate:   openGate{}, restricted: map[string]*restrictedDemand{},
+		pacers: map[string]*pacer{}, parts: map[string]endpointParts{},
+		gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
 }
 
@@ -135,9 +136,9 @@
 		for _, e := range s.endpoints {
 			s.byService[e.Service] = append(s.byService[e.Service], e)
 		}
-		for _, list := range s.byService {
+		for name, list := range s.byService {
 			slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
-			s.assignToGroups(list)
+			s.assignToGroups(name, list)
 		}
 	}
 	return s.byService[service]
