--- a/coord/scheduler/desk_simulation_test.go
+++ b/coord/scheduler/desk_simulation_test.go
@@ -84,7 +84,6 @@
 
 type deskFront struct {
 	s          *scheduler.Scheduler
-	nextPlan   time.Duration
 	nextReport time.Duration
 }
 
