front: no version of the configuration makes a request run twice that another one lets run once

What callers would see: a booking that goes through twice when configurations come in quick succession.

Cause: whether a request may be sent again was asked of the version by which it was checked last. A request that had run under a version which allows repeats was sent again after a newer one had made its path a route whose requests run once; and a booking was repeated once a newer version that allows repeats had been looked at before a second send.

Change: a request keeps the fewest runs that any version allows by which it was checked. One that has run that often ends with 502 (log line repeat_forbidden). Routes, keys and services are those of the newest version known at the send, as before: moved and withdrawn ones bind at once.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -151,6 +151,9 @@
 	return err.Error()
 }
 
+// reasonRepeatForbidden is why a request that ran is not sent again.
+const reasonRepeatForbidden = "repeat forbidden by a newer configuration"
+
 // stillAllowed checks the request against the current configuration once more before it
 // is sent: it may have waited in the queue, and the process may have been suspended.
 func (d *delivery) stillAllowed() (attemptResult, bool) {
@@ -170,7 +173,13 @@
 	case !same:
 		return finishedWith(d.deny(http.StatusUnauthorized, "unknown key")), false
 	}
-	d.admission = admission
+	before := d.admission.Version
+	d.adopt(admission)
+	if d.runs > 0 && d.runs >= d.maxRuns {
+		d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before).Int64("version", admission.Version).
+			Str("route", admission.Route.Name).Int("runs", d.runs).Int("max_runs", d.maxRuns).Msg("repeat_forbidden")
+		return finishedWith(d.giveUp(reasonRepeatForbidden)), false
+	}
 	if !admission.Route.Allows(d.service) {
 		d.service = admission.Route.Pick(rand.Float64())
 		return attemptResult{kind: notSent, reason: "route moved"}, false
@@ -265,7 +274,7 @@
 	if d.streamStarted {
 		return attemptResult{kind: mayHaveRun, reason: "stream not taken up"}, scheduler.Failed
 	}
-	if !success && a.status >= http.StatusInternalServerError && d.admission.Route.Repeatable() {
+	if !success && a.status >= http.StatusInternalServerError && d.maxRuns > 1 {
 		d.heldFailure = a
 		return attemptResult{kind: mayHaveRun, reason: "endpoint failed with " + http.StatusText(a.status)}, scheduler.Failed
 	}
--- a/daemon/front/breaks.go
+++ b/daemon/front/breaks.go
@@ -66,7 +66,7 @@
 // since that depends on whether its endpoint ended.
 func (d *delivery) reportBreak(p scheduler.Placement) {
 	run := d.describeBreak(p)
-	if d.admission.Route.Repeatable() {
+	if d.maxRuns > 1 {
 		d.front.examineBreak(run)
 		return
 	}
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -32,6 +32,7 @@
 	content        uint64               // see contentID
 	subjects       []quarantine.Subject // see subjectsOf
 	admission      routing.Admission
+	maxRuns        int // by all versions of the configuration that it was checked against
 	service        string
 	arrived        time.Duration   // times are of Front.clock
 	deadline       time.Duration   // the deadline or the route's timeout, whichever is sooner
@@ -157,7 +158,7 @@
 	case refusal == routing.UnknownKey:
 		return d.deny(http.StatusUnauthorized, "unknown key")
 	}
-	d.admission = admission
+	d.adopt(admission)
 	d.service = admission.Route.Pick(rand.Float64())
 	account := ""
 	if admission.Account != nil {
@@ -168,6 +169,20 @@
 	return ""
 }
 
+// adopt takes over the admission by a version of the configuration. How often the request may run
+// is limited by each version that it was checked against: what was accepted as a request that runs
+// once stays one, and what must run once by now is not repeated.
+func (d *delivery) adopt(admission routing.Admission) {
+	d.admission = admission
+	runs := 1
+	if admission.Route.Repeatable() {
+		runs = max(admission.Route.MaxAttempts, 1)
+	}
+	if d.maxRuns == 0 || runs < d.maxRuns {
+		d.maxRuns = runs
+	}
+}
+
 // staleRetryAfter is the Retry-After of a request that is refused because the
 // configuration is unknown or may be out of date.
 const staleRetryAfter = 500 * time.Millisecond
@@ -286,7 +301,7 @@
 		AccountPriority: d.admission.AccountPriority(), Priority: route.Priority, Stream: route.Kind == routing.Streaming,
 		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint,
 		Arrived: now, GapTarget: route.GapTarget, Deadline: d.deadline, NextByteDeadline: d.deadline,
-		Repeatable: route.Repeatable() && d.runs+1 < route.MaxAttempts, Avoid: maps.Clone(d.triedEndpoints),
+		Repeatable: d.runs+1 < d.maxRuns, Avoid: maps.Clone(d.triedEndpoints),
 		Version: d.streamVersion,
 	}
 	if r.OutputTokens == 0 {
@@ -334,7 +349,7 @@
 		if result.broken && !d.mayResend() {
 			return d.giveUp(result.reason)
 		}
-		if !d.admission.Route.Repeatable() || d.runs >= d.admission.Route.MaxAttempts || !d.takeRetryBudget() {
+		if d.runs >= d.maxRuns || !d.takeRetryBudget() {
 			return d.giveUp(result.reason)
 		}
 	}
