--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -334,6 +334,9 @@
 		PendingPromptTokens: c.pendingPromptTokens, EventInterval: time.Duration(c.eventInterval * float64(time.Second)), PromptRate: c.promptRate,
 		ExpectedFirstEvent: time.Duration(c.firstEvent(r) * float64(time.Second)),
 	}
+	if p.pacer != nil && p.pacer.share < float64(p.slots) {
+		placement.Share = p.pacer.share
+	}
 	s.observeDecision(r, false)
 	s.runs[r.ID] = &run{request: *r, endpoint: c.endpoint, sentAt: now, lastByteAt: now, expectedFirstEvent: placement.ExpectedFirstEvent}
 	c.endpoint.runs[r.ID] = s.runs[r.ID]
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -127,6 +127,9 @@
 	Score float64
 	// ReportAge is the age of the oldest report of another entry that was used.
 	ReportAge time.Duration
+	// Share is how many slots of a plain service this entry may use over time, while the demand
+	// of all entries exceeds them; 0 = it may use any.
+	Share float64
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
 	SendBefore time.Duration
 }
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -73,7 +73,7 @@
 
 // logPlaced logs the placement with the values that the scheduler based it on.
 func (d *delivery) logPlaced(p scheduler.Placement) {
-	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
+	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).Float64("share", p.Share).
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
 		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
