scheduler: old reports do not hide failing and tried endpoints from the draw

What callers would see: a quarter of the requests of a plain service go to an endpoint that fails them while its health check is good, and a request that was sent to one endpoint waits while the draw names it again.

Cause: since plain services are paced, one endpoint is drawn where reports are older than a run, before failures and earlier sends are looked at. Found by reading the change, before it landed.

Change: drawn are the endpoints that may run the request and that fail no more than 0.15 more often than the best one. Also, the reports of other entries are searched for lapsed ones only when one can have lapsed, and their mean age is kept as a sum: both were loops over all entries in each plan.

--- a/coord/scheduler/pace.go
+++ b/coord/scheduler/pace.go
@@ -125,21 +125,28 @@
 	account.share = min(max(slots*rate/max(total, 1e-9), minPacedShare*even), slots)
 }
 
-// comparable returns the candidates among which the cheapest is chosen. Entries with the same old
-// reports would all choose the same endpoint, so the older the reports, the fewer are drawn at
-// random; from an age of a run on it is one.
-func (s *Scheduler) comparable(p *pool) []*candidate {
+// comparable returns those of the candidates that may run a request among which the cheapest is
+// chosen. Entries with the same old reports would all choose the same endpoint, so the older the
+// reports, the fewer are drawn at random; from an age of a run on it is one. Endpoints that fail
+// requests more often than others are not drawn.
+func (s *Scheduler) comparable(p *pool, suitable []*candidate) []*candidate {
 	if p.pacer == nil || p.staleness < freshReports {
-		return p.candidates
+		return suitable
 	}
-	var available []*candidate
-	for _, i := range s.rng.Perm(len(p.candidates)) {
-		if c := p.candidates[i]; c.available(s.cfg.Overcommit) {
-			available = append(available, c)
+	leastFailures := math.Inf(1)
+	for _, c := range suitable {
+		if c.available(s.cfg.Overcommit) {
+			leastFailures = min(leastFailures, c.endpoint.failureRate)
+		}
+	}
+	var sound []*candidate
+	for _, i := range s.rng.Perm(len(suitable)) {
+		if c := suitable[i]; c.available(s.cfg.Overcommit) && c.endpoint.failureRate <= leastFailures+toleratedFailures {
+			sound = append(sound, c)
 		}
 	}
 	n := 1 + int(float64(len(p.candidates)-1)/(1+stalenessDrawWeight*p.staleness))
-	return available[:min(n, len(available))]
+	return sound[:min(n, len(sound))]
 }
 
 const (
@@ -149,4 +156,8 @@
 	// stalenessDrawWeight sets how fast the number of endpoints that are compared falls with the
 	// age of the reports.
 	stalenessDrawWeight = 4.0
+	// toleratedFailures is by how much the failure rate of an endpoint may exceed the lowest one
+	// for the endpoint to be drawn: two failures of late, without which chance would leave out
+	// sound endpoints.
+	toleratedFailures = 0.15
 )
--- a/coord/scheduler/peers.go
+++ b/coord/scheduler/peers.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // peers holds the newest reports of the other entries. It keeps their sums, since a plan
 // looks up every endpoint, and there may be many entries.
@@ -9,6 +12,9 @@
 	loads    map[string]Load    // by endpoint
 	demand   map[string]int     // by service
 	arrivals map[string]float64 // requests per second, by plain service
+
+	receivedAt time.Duration // sum over all reports
+	nextExpiry time.Duration // no report expires before
 }
 
 type peerReport struct {
@@ -24,12 +30,15 @@
 func (p *peers) set(now time.Duration, from string, r Report) {
 	p.remove(from)
 	p.reports[from] = peerReport{Report: r, receivedAt: now}
+	p.receivedAt += now
+	p.nextExpiry = min(p.nextExpiry, now+r.TTL) // or later, if Config.ReportTTL is longer
 	p.add(r, 1)
 }
 
 func (p *peers) remove(from string) {
 	if known, ok := p.reports[from]; ok {
 		p.add(known.Report, -1)
+		p.receivedAt -= known.receivedAt
 		delete(p.reports, from)
 	}
 }
@@ -57,10 +66,17 @@
 
 // expire drops reports whose time to live has passed.
 func (p *peers) expire(now, ttl time.Duration) {
+	if now < p.nextExpiry {
+		return
+	}
+	p.nextExpiry = math.MaxInt64
 	for name, r := range p.reports {
-		if now >= r.receivedAt+max(ttl, r.TTL) {
+		expiry := r.receivedAt + max(ttl, r.TTL)
+		if now >= expiry {
 			p.remove(name)
+			continue
 		}
+		p.nextExpiry = min(p.nextExpiry, expiry)
 	}
 }
 
@@ -78,9 +94,5 @@
 	if len(p.reports) == 0 {
 		return 0
 	}
-	sum := time.Duration(0)
-	for _, r := range p.reports {
-		sum += now - r.receivedAt
-	}
-	return sum / time.Duration(len(p.reports))
+	return now - p.receivedAt/time.Duration(len(p.reports))
 }
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -305,10 +305,13 @@
 	var best *candidate
 	lowest, lowestFull := math.Inf(1), math.Inf(1)
 	allAvoided := !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) })
-	for _, c := range s.comparable(p) {
-		if r.Avoid[c.endpoint.ID] && !allAvoided || !r.mayRunAt(c.endpoint) {
-			continue
+	suitable := make([]*candidate, 0, len(p.candidates))
+	for _, c := range p.candidates {
+		if (!r.Avoid[c.endpoint.ID] || allAvoided) && r.mayRunAt(c.endpoint) {
+			suitable = append(suitable, c)
 		}
+	}
+	for _, c := range s.comparable(p, suitable) {
 		cost := s.cost(now, r, c)
 		switch {
 		case !c.open: // when it opens does not depend on its slots
