front: a stream is checked once more after its endpoint stated its incarnation

What callers would see: a stream that runs with a key which was withdrawn while the front waited, up to 0.4 s or through a suspension of the process, for the endpoint to state its start.

Cause: the question was put between the check of key and route and the send. Found by reading the change, before it landed.

Change: the question comes first. Between the last check and the send there is no wait.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -92,15 +92,16 @@
 	}
 	stop := context.AfterFunc(d.attemptContext, conn.Close)
 	defer stop()
-	if result, ok := d.stillAllowed(); !ok {
-		conn.Close()
-		return result, scheduler.Abandoned
-	}
 	if reason, outcome := d.checkIncarnation(p, conn); reason != "" {
 		conn.Close()
 		d.front.metrics.placementVoid(reason)
 		return attemptResult{kind: notSent, reason: reason}, outcome
 	}
+	// Last, since time passes before: nothing that is checked below may lapse until the send.
+	if result, ok := d.stillAllowed(); !ok {
+		conn.Close()
+		return result, scheduler.Abandoned
+	}
 	if reason := d.checkPlacement(p); reason != "" {
 		conn.Close()
 		d.front.metrics.placementVoid(reason)
