--- a/coord/scheduler/peers.go
+++ b/coord/scheduler/peers.go
@@ -1,13 +1,20 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // peers holds the newest reports of the other entries. It keeps their sums, since a plan
 // looks up every endpoint, and there may be many entries.
 type peers struct {
-	reports map[string]peerReport
-	loads   map[string]Load // by endpoint
-	demand  map[string]int  // by service
+	reports  map[string]peerReport
+	loads    map[string]Load    // by endpoint
+	demand   map[string]int     // by service
+	arrivals map[string]float64 // requests per second, by plain service
+
+	receivedAt time.Duration // sum over all reports
+	nextExpiry time.Duration // no report expires before
 }
 
 type peerReport struct {
@@ -16,19 +23,22 @@
 }
 
 func newPeers() peers {
-	return peers{reports: map[string]peerReport{}, loads: map[string]Load{}, demand: map[string]int{}}
+	return peers{reports: map[string]peerReport{}, loads: map[string]Load{}, demand: map[string]int{}, arrivals: map[string]float64{}}
 }
 
 // set replaces the report of an entry.
 func (p *peers) set(now time.Duration, from string, r Report) {
 	p.remove(from)
 	p.reports[from] = peerReport{Report: r, receivedAt: now}
+	p.receivedAt += now
+	p.nextExpiry = min(p.nextExpiry, now+r.TTL) // or later, if Config.ReportTTL is longer
 	p.add(r, 1)
 }
 
 func (p *peers) remove(from string) {
 	if known, ok := p.reports[from]; ok {
 		p.add(known.Report, -1)
+		p.receivedAt -= known.receivedAt
 		delete(p.reports, from)
 	}
 }
@@ -44,6 +54,9 @@
 		}
 		p.loads[id] = sum
 	}
+	for service, rate := range r.Arrivals {
+		p.arrivals[service] = max(p.arrivals[service]+float64(sign)*rate, 0)
+	}
 	for service, n := range r.Demand {
 		if p.demand[service] += sign * n; p.demand[service] == 0 {
 			delete(p.demand, service)
@@ -53,10 +66,17 @@
 
 // expire drops reports whose time to live has passed.
 func (p *peers) expire(now, ttl time.Duration) {
+	if now < p.nextExpiry {
+		return
+	}
+	p.nextExpiry = math.MaxInt64
 	for name, r := range p.reports {
-		if now >= r.receivedAt+max(ttl, r.TTL) {
+		expiry := r.receivedAt + max(ttl, r.TTL)
+		if now >= expiry {
 			p.remove(name)
+			continue
 		}
+		p.nextExpiry = min(p.nextExpiry, expiry)
 	}
 }
 
@@ -68,3 +88,11 @@
 	}
 	return age
 }
+
+// meanAge returns the mean age of the reports; 0 if there is none.
+func (p *peers) meanAge(now time.Duration) time.Duration {
+	if len(p.reports) == 0 {
+		return 0
+	}
+	return now - p.receivedAt/time.Duration(len(p.reports))
+}
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -52,6 +52,8 @@
 	Loads map[string]Load
 	// Demand counts running and waiting requests by service.
 	Demand map[string]int
+	// Arrivals holds the recent requests per second by plain service.
+	Arrivals map[string]float64
 	// TTL is how long the report is used where that is longer than Config.ReportTTL.
 	TTL time.Duration
 }
@@ -64,6 +66,7 @@
 	entries        []string // names of all entries, sorted by hash
 	endpoints      map[string]*endpoint
 	byService      map[string][]*endpoint // sorted by ID; nil = to be rebuilt
+	parts          map[string]endpointParts
 	services       map[string]ServiceInfo
 	runs           map[uint64]*run       // by request ID
 	queues         map[string][]*Request // waiting requests by service
@@ -75,6 +78,7 @@
 	refusedWork    map[string]*refusedWork // by service
 	gate           Gate
 	restricted     map[string]*restrictedDemand // by service with restricted endpoints
+	pacers         map[string]*pacer            // by plain service
 	withheldSince  time.Duration                // when Withhold was first called since the last Plan, if withheld
 	withheld       bool
 }
@@ -91,6 +95,7 @@
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
 		queues: map[string][]*Request{}, meanSizes: map[classKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refusalRates: map[classKey]float64{}, placementRates: map[classKey]*placementRates{}, refusedWork: map[string]*refusedWork{},
+		pacers: map[string]*pacer{}, parts: map[string]endpointParts{},
 		gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
 }
@@ -131,9 +136,9 @@
 		for _, e := range s.endpoints {
 			s.byService[e.Service] = append(s.byService[e.Service], e)
 		}
-		for _, list := range s.byService {
+		for name, list := range s.byService {
 			slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
-			s.assignToGroups(list)
+			s.assignToGroups(name, list)
 		}
 	}
 	return s.byService[service]
@@ -145,8 +150,13 @@
 }
 
 // Report returns the load of this entry.
-func (s *Scheduler) Report() Report {
-	r := Report{Loads: map[string]Load{}, Demand: map[string]int{}}
+func (s *Scheduler) Report(now time.Duration) Report {
+	r := Report{Loads: map[string]Load{}, Demand: map[string]int{}, Arrivals: map[string]float64{}}
+	for service, p := range s.pacers {
+		if rate := p.rate(now); rate >= minReportedRate {
+			r.Arrivals[service] = float64(float32(rate))
+		}
+	}
 	for id, e := range s.endpoints {
 		if len(e.runs) > 0 {
 			r.Loads[id] = Load{Running: len(e.runs), PromptTokens: e.pendingPromptTokens()}
@@ -161,6 +171,9 @@
 	return r
 }
 
+// minReportedRate is the least number of requests per second that is reported.
+const minReportedRate = 0.01
+
 // Enqueue adds a request to the queue of its service.
 func (s *Scheduler) Enqueue(r Request) {
 	_, running := s.runs[r.ID]
@@ -173,6 +186,9 @@
 			s.meanSizes[key] = r.size()
 		}
 	}
+	if !s.services[r.Service].Engine {
+		s.pacerOf(r.Service).arrive(r.Arrived)
+	}
 	s.queues[r.Service] = append(s.queues[r.Service], &r)
 }
 
@@ -267,6 +283,10 @@
 	delete(s.runs, id)
 	e := r.endpoint
 	delete(e.runs, id)
+	if p := s.pacers[e.Service]; p != nil {
+		p.advance(now, max(e.serviceTime, defaultServiceTime).Seconds())
+		p.running = max(p.running-1, 0)
+	}
 	switch outcome {
 	case Answered:
 		e.clearEjection()
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -73,7 +73,7 @@
 
 // logPlaced logs the placement with the values that the scheduler based it on.
 func (d *delivery) logPlaced(p scheduler.Placement) {
-	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).
+	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).Float64("share", p.Share).
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
 		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
@@ -92,15 +92,16 @@
 	}
 	stop := context.AfterFunc(d.attemptContext, conn.Close)
 	defer stop()
-	if result, ok := d.stillAllowed(); !ok {
-		conn.Close()
-		return result, scheduler.Abandoned
-	}
 	if reason, outcome := d.checkIncarnation(p, conn); reason != "" {
 		conn.Close()
 		d.front.metrics.placementVoid(reason)
 		return attemptResult{kind: notSent, reason: reason}, outcome
 	}
+	// Last, since time passes before: nothing that is checked below may lapse until the send.
+	if result, ok := d.stillAllowed(); !ok {
+		conn.Close()
+		return result, scheduler.Abandoned
+	}
 	if reason := d.checkPlacement(p); reason != "" {
 		conn.Close()
 		d.front.metrics.placementVoid(reason)
@@ -151,6 +152,9 @@
 	return err.Error()
 }
 
+// reasonRepeatForbidden is why a request that ran is not sent again.
+const reasonRepeatForbidden = "repeat forbidden by a newer configuration"
+
 // stillAllowed checks the request against the current configuration once more before it
 // is sent: it may have waited in the queue, and the process may have been suspended.
 func (d *delivery) stillAllowed() (attemptResult, bool) {
@@ -170,7 +174,13 @@
 	case !same:
 		return finishedWith(d.deny(http.StatusUnauthorized, "unknown key")), false
 	}
-	d.admission = admission
+	before := d.admission.Version
+	d.adopt(admission)
+	if d.runs > 0 && d.runs >= d.maxRuns {
+		d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before).Int64("version", admission.Version).
+			Str("route", admission.Route.Name).Int("runs", d.runs).Int("max_runs", d.maxRuns).Msg("repeat_forbidden")
+		return finishedWith(d.giveUp(reasonRepeatForbidden)), false
+	}
 	if !admission.Route.Allows(d.service) {
 		d.service = admission.Route.Pick(rand.Float64())
 		return attemptResult{kind: notSent, reason: "route moved"}, false
@@ -265,7 +275,7 @@
 	if d.streamStarted {
 		return attemptResult{kind: mayHaveRun, reason: "stream not taken up"}, scheduler.Failed
 	}
-	if !success && a.status >= http.StatusInternalServerError && d.admission.Route.Repeatable() {
+	if !success && a.status >= http.StatusInternalServerError && d.maxRuns > 1 {
 		d.heldFailure = a
 		return attemptResult{kind: mayHaveRun, reason: "endpoint failed with " + http.StatusText(a.status)}, scheduler.Failed
 	}
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -50,6 +50,8 @@
 	Limits          []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
 	ListMS          []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
 	ConfigurationMS []int64            `cbor:"14,keyasint,omitempty"` // the same of the configuration
+	UptimeMS        int64              `cbor:"17,keyasint,omitempty"` // since the entry's start, in full reports; 0 = unknown
+	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
 	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
 }
 
@@ -94,7 +96,7 @@
 
 // loadReport returns a report of this entry's load at the endpoints and its demand.
 func (c *control) loadReport(now time.Duration) report {
-	own := c.scheduler.Report()
+	own := c.scheduler.Report(now)
 	loads := make(map[string][2]int, len(own.Loads))
 	for id, l := range own.Loads {
 		loads[id] = [2]int{l.Running, l.PromptTokens}
@@ -102,7 +104,7 @@
 	c.reporting.sequence++
 	return report{
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
-		Loads: loads, Demand: own.Demand, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
+		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
 		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)),
 	}
 }
@@ -121,6 +123,7 @@
 func (c *control) fullReport(now time.Duration) report {
 	r := c.loadReport(now)
 	r.Full, r.Usage = true, c.limiter.Usage()
+	r.UptimeMS = max((now - c.startedAt).Milliseconds(), 1)
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
 	if c.reporting.fullReports%levelsReportInterval == 0 {
 		r.Levels = c.limiter.Levels(now)
@@ -202,6 +205,7 @@
 	for _, amounts := range []map[string]float64{r.Usage, r.Levels} {
 		maps.DeleteFunc(amounts, func(_ string, amount float64) bool { return !isFinite(amount) })
 	}
+	maps.DeleteFunc(r.Arrivals, func(_ string, rate float64) bool { return !(rate > 0 && rate <= maxReportedRate) })
 	for id, l := range r.Loads {
 		r.Loads[id] = [2]int{clampCount(l[0]), clampCount(l[1])}
 	}
@@ -212,9 +216,20 @@
 	r.Limits = slices.DeleteFunc(r.Limits, func(l limitState) bool { return !l.usable() })
 }
 
+// startedAt returns when another entry started, on this entry's clock; 0 = unknown.
+func startedAt(now time.Duration, uptimeMS int64) time.Duration {
+	if uptimeMS <= 0 || uptimeMS > now.Milliseconds() {
+		return 0
+	}
+	return now - time.Duration(uptimeMS)*time.Millisecond
+}
+
 // maxReportedCount limits the counts that another entry reports, so that their sums can't overflow.
 const maxReportedCount = 1 << 30
 
+// maxReportedRate is the most requests per second of one service that another entry can have.
+const maxReportedRate = 1e5
+
 func clampCount(n int) int {
 	return min(max(n, 0), maxReportedCount)
 }
@@ -250,7 +265,7 @@
 	}
 	validFor := missedReports * min(time.Duration(r.IntervalMS)*time.Millisecond, maxReportInterval)
 	c.members.setHeard(now, r.From, max(validFor, minHeardTime))
-	c.scheduler.SetPeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, TTL: validFor})
+	c.scheduler.SetPeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, Arrivals: r.Arrivals, TTL: validFor})
 	if len(r.ListMS) == 2 {
 		c.list.SetPeer(now, r.From, staleness.Report{
 			Age: age(r.ListMS[0]), Steady: age(r.ListMS[1]),
@@ -269,7 +284,7 @@
 		c.subjectsChanged(c.quarantine.Merge(now, decodeEvidence(r.Subjects)))
 	}
 	if r.Full {
-		c.limiter.ReceiveReport(now, r.From, r.Incarnation, allowance.Usage(r.Usage), r.Levels)
+		c.limiter.ReceiveReport(now, r.From, r.Incarnation, startedAt(now, r.UptimeMS), allowance.Usage(r.Usage), r.Levels)
 		c.limiter.SetPeerTimeout(r.From, validFor)
 	}
 }
