--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -32,6 +32,15 @@
 
 // call sends one request on a new channel and reads the answer.
 func (w *world) call(f *front, method, path, id string, deadline time.Duration) result {
+	body := ""
+	if method == http.MethodPost {
+		body = "what the client wants"
+	}
+	return w.callWith(f, method, path, id, deadline, body)
+}
+
+// callWith is call with a body.
+func (w *world) callWith(f *front, method, path, id string, deadline time.Duration, body string) result {
 	res := result{id: id}
 	c, err := net.DialTimeout("tcp", f.callers, time.Second)
 	if err != nil {
@@ -40,10 +49,6 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(deadline))
-	body := ""
-	if method == http.MethodPost {
-		body = "what the client wants"
-	}
 	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nAuthorization: Bearer key-a\r\n"+
 		"X-Token-Counts: 100,100\r\nX-Prompt-Prefix: %s:100\r\nContent-Length: %d\r\n\r\n%s", method, path, id, deadline.Milliseconds(), id, len(body), body)
 	res.sent = time.Now()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"1": hangupWhileStopping,
 	"2": crashWhileFrozen,
+	"3": largeBodies,
 }
 
 // Exit codes of a case.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -119,6 +119,7 @@
 type front struct {
 	*process
 	callers, readiness string
+	id, settings       string // settings is the path of its settings file
 }
 
 // frontSettings has the keys and the values of deploy/front.yaml for a small installation.
@@ -137,7 +138,7 @@
   retry_ratio: 0.2
   retry_burst: 58
   cap_slack: 140000
-  memory_mb: 284
+  memory_mb: 134
 `
 
 // startFront starts a front with the command of the deploy file.
@@ -155,24 +156,31 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.dir, id+".log"))
+	f := &front{callers: addresses[0], readiness: addresses[1], id: id, settings: path}
+	return f, w.restartFront(f)
+}
+
+// restartFront starts the process of a front that has none.
+func (w *world) restartFront(f *front) error {
+	log, err := os.OpenFile(filepath.Join(w.dir, f.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "PRIMROSESPOKE_NODE_FILE=" + path}
-	p, err := w.start(id, env, func(line string) {
+	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "PRIMROSESPOKE_NODE_FILE=" + f.settings}
+	p, err := w.start(f.id, env, func(line string) {
 		fmt.Fprintln(log, line)
 		for _, event := range []string{"front_st", "request_given_up", "run_broken", "settings_", "front_shutdown", "panic"} {
 			if strings.Contains(line, event) {
-				w.note("log of %s: %s", id, line)
+				w.note("log of %s: %s", f.id, line)
 			}
 		}
 	}, filepath.Join("..", "..", "target", "primrosespoke"), "front")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	w.note("process %s started, pid %d", id, p.cmd.Process.Pid)
-	return &front{process: p, callers: addresses[0], readiness: addresses[1]}, nil
+	w.note("process %s started, pid %d", f.id, p.cmd.Process.Pid)
+	f.process = p
+	return nil
 }
 
 // isReady reports whether the readiness check succeeds.
