signals: one handler from the start of a process to its end

Callers saw: a front that got SIGHUP while it finished its requests after SIGTERM ended at once.

Cause: the handling of SIGHUP was bound to the context that SIGTERM ends. With it, signal.Stop restored the default action, which ends the process. The same class, found by asking of each signal what it does in each phase: SIGHUP before the handler was set up ended a front; entry and agent had no handler for it at all; a second SIGTERM ended a process that was draining; SIGPIPE ended a front whose log nobody reads any more.

Change: package signals registers all handlers as the first step of main and keeps them until the process ends. One table says what a signal means in each phase. The Go runtime ends a process on SIGHUP until a handler is registered, so a constructor ignores it until then; none is lost, as the settings are read later. Each signal is logged with phase and action. SIGUSR1 logs the state dump. A second SIGINT still ends a process at once; SIGTERM no longer does.

--- a/daemon/cmd/primrosespoke/main.go
+++ b/daemon/cmd/primrosespoke/main.go
@@ -6,14 +6,14 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
 
 	"primrosespoke.dev/daemon/dev"
 	"primrosespoke.dev/daemon/process"
 	"primrosespoke.dev/daemon/settings"
+	"primrosespoke.dev/daemon/signals"
 	"primrosespoke.dev/platform"
 )
 
@@ -23,32 +23,44 @@
 	Set      []string `help:"A setting as path.to.key=value; may be repeated. Goes over the environment, which goes over the file." sep:"none"`
 }
 
-func (s sources) load(role settings.Role) (*settings.Settings, error) {
-	return settings.Load(settings.Sources{File: s.Settings, Environ: os.Environ(), Flags: s.Set, Role: role})
+func (s sources) forRole(role settings.Role) settings.Sources {
+	return settings.Sources{File: s.Settings, Environ: os.Environ(), Flags: s.Set, Role: role}
 }
 
-// entryCommand is `primrosespoke entry`.
-type entryCommand struct{ sources }
+// runner runs a process with its settings until ctx ends; see package process.
+type runner func(ctx context.Context, s *settings.Settings, started process.Started) error
 
-// Run serves callers until a signal, then drains.
-func (c entryCommand) Run(ctx context.Context) error {
-	s, err := c.load(settings.RoleEntry)
+// run loads the settings and runs a process with them until a signal stops it. On SIGHUP the
+// settings are checked again. Those in use don't change: whatever may change in a running
+// process is part of the configuration.
+func run(from settings.Sources, h *signals.Handler, start runner) error {
+	s, err := settings.Load(from)
 	if err != nil {
 		return err
 	}
-	return process.RunEntry(ctx, s)
+	reload := func() error {
+		_, err := settings.Load(from)
+		return err
+	}
+	return start(h.Context(), s, func(log zerolog.Logger, dump func() any) {
+		h.Attach(signals.Hooks{Log: log, Reload: reload, Dump: dump})
+	})
+}
+
+// entryCommand is `primrosespoke entry`.
+type entryCommand struct{ sources }
+
+// Run serves callers until a signal stops it, then drains.
+func (c entryCommand) Run(h *signals.Handler) error {
+	return run(c.forRole(settings.RoleEntry), h, process.RunEntry)
 }
 
 // agentCommand is `primrosespoke agent`.
 type agentCommand struct{ sources }
 
-// Run serves one endpoint until a signal, then drains.
-func (c agentCommand) Run(ctx context.Context) error {
-	s, err := c.load(settings.RoleAgent)
-	if err != nil {
-		return err
-	}
-	return process.RunAgent(ctx, s)
+// Run serves one endpoint until a signal stops it, then drains.
+func (c agentCommand) Run(h *signals.Handler) error {
+	return run(c.forRole(settings.RoleAgent), h, process.RunAgent)
 }
 
 // frontCommand is `primrosespoke front`. Unlike sources, it also takes the path of the
@@ -58,21 +70,23 @@
 	Set      []string `help:"A setting as path.to.key=value; may be repeated." sep:"none"`
 }
 
-// Run serves callers on the users' platform until a signal, then drains. At SIGHUP the
-// settings are only checked again, not applied.
-func (c frontCommand) Run(ctx context.Context) error {
-	src := settings.Sources{File: c.Settings, Environ: os.Environ(), Flags: c.Set, Role: settings.RoleFront}
-	s, err := settings.Load(src)
-	if err != nil {
-		return err
-	}
-	reload := func() error {
-		_, err := settings.Load(src)
-		return err
-	}
-	return process.RunFront(ctx, s, process.FrontPlatform{
-		Store: platform.NewStore(s.Front.Store), Wire: platform.Wire{}, ReadinessPath: platform.ReadinessPath,
-	}, reload)
+// Run serves callers on the users' platform until a signal stops it, then drains.
+func (c frontCommand) Run(h *signals.Handler) error {
+	from := settings.Sources{File: c.Settings, Environ: os.Environ(), Flags: c.Set, Role: settings.RoleFront}
+	return run(from, h, func(ctx context.Context, s *settings.Settings, started process.Started) error {
+		return process.RunFront(ctx, s, process.FrontPlatform{
+			Store: platform.NewStore(s.Front.Store), Wire: platform.Wire{}, ReadinessPath: platform.ReadinessPath,
+		}, started)
+	})
+}
+
+// devCommand is `primrosespoke dev`.
+type devCommand struct{ dev.Command }
+
+// Run runs the deployment until a signal.
+func (c devCommand) Run(h *signals.Handler) error {
+	h.Foreground()
+	return c.Command.Run(h.Context())
 }
 
 // settingsCommand is `primrosespoke settings`.
@@ -81,7 +95,8 @@
 }
 
 // Run prints every setting with its description, default, unit and environment variable.
-func (c settingsCommand) Run() error {
+func (c settingsCommand) Run(h *signals.Handler) error {
+	h.Foreground()
 	if c.Page {
 		fmt.Print(settings.Reference())
 		return nil
@@ -102,19 +117,16 @@
 	Entry    entryCommand    `cmd:"" help:"Hold callers' connections and schedule their requests."`
 	Agent    agentCommand    `cmd:"" help:"Stand beside one endpoint and pass all its work."`
 	Front    frontCommand    `cmd:"" help:"Hold callers' connections on the users' platform and send requests straight to endpoints."`
-	Dev      dev.Command     `cmd:"" help:"Run a whole small deployment on loopback, with stand-ins for the platform and the endpoints."`
+	Dev      devCommand      `cmd:"" help:"Run a whole small deployment on loopback, with stand-ins for the platform and the endpoints."`
 	Settings settingsCommand `cmd:"" help:"List all settings with their defaults and units."`
 }
 
 func main() {
-	// The first signal starts a drain and restores the default handling, so that a second one
-	// ends the process at once.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop)
+	handler := signals.Catch(hangUpIgnored())
 	var cli commands
 	parsed := kong.Parse(&cli, kong.Name("primrosespoke"),
 		kong.Description("Request scheduler for unlike engines."),
-		kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.Bind(handler))
 	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	d.group.Go(func() error { return process.RunEntry(d.ctx, s) })
+	d.group.Go(func() error { return process.RunEntry(d.ctx, s, nil) })
 	return nil
 }
 
@@ -149,7 +149,7 @@
 		ID: e.name, Role: membership.RoleAgent, Pool: e.pool, Address: d.address(internal),
 		FailureDomain: e.failureDomain, State: membership.StateLive,
 	})
-	d.group.Go(func() error { return process.RunAgent(d.ctx, s) })
+	d.group.Go(func() error { return process.RunAgent(d.ctx, s, nil) })
 	return nil
 }
 
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -52,14 +52,11 @@
 		e.GET(operator.PathMetrics, echo.WrapHandler(f.config.Metrics))
 	}
 	e.GET(operator.PathDump, func(c echo.Context) error {
-		reply := make(chan Dump, 1)
-		f.send(dumpMessage{reply: reply})
-		select {
-		case d := <-reply:
-			return c.JSONPretty(http.StatusOK, d, "  ")
-		case <-f.stopped:
+		d := f.Dump()
+		if d == nil {
 			return c.String(http.StatusServiceUnavailable, "stopping")
 		}
+		return c.JSONPretty(http.StatusOK, d, "  ")
 	})
 	e.POST(operator.PathReleasePart, f.releasePart)
 	e.POST(operator.PathReleaseRequest, f.releaseRequest)
@@ -67,6 +64,18 @@
 	return e
 }
 
+// Dump returns the state of the front, or nil once its control goroutine has ended.
+func (f *Front) Dump() *Dump {
+	reply := make(chan Dump, 1)
+	f.send(dumpMessage{reply: reply})
+	select {
+	case d := <-reply:
+		return &d
+	case <-f.stopped:
+		return nil
+	}
+}
+
 // releasePart lets go of the part of prompts that the parameter part names.
 func (f *Front) releasePart(c echo.Context) error {
 	return f.release(c, "part", func(id string, reply chan<- bool) message {
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -9,8 +9,9 @@
 	"primrosespoke.dev/daemon/settings"
 )
 
-// RunAgent runs an agent until ctx ends, then drains it. It logs to standard error.
-func RunAgent(ctx context.Context, s *settings.Settings) error {
+// RunAgent runs an agent until ctx ends, then drains it. It logs to standard error. started may be
+// nil.
+func RunAgent(ctx context.Context, s *settings.Settings, started Started) error {
 	b, err := newBase(s)
 	if err != nil {
 		return err
@@ -24,11 +25,12 @@
 		return err
 	}
 	claims, _ := cfg.Claims.(*claimlog.Log)
-	operators := b.operators(agentControls{Agent: served, base: b, claims: claims})
+	c := agentControls{Agent: served, base: b, claims: claims}
+	b.reportStarted(started, c)
 	if claims != nil {
-		return b.run(ctx, agentWithClaims{Agent: served, claims: claims}, operators)
+		return b.run(ctx, agentWithClaims{Agent: served, claims: claims}, b.operators(c))
 	}
-	return b.run(ctx, served, operators)
+	return b.run(ctx, served, b.operators(c))
 }
 
 // agentConfig returns the agent's configuration. Only an agent of a plain service gets an
--- a/daemon/process/controls.go
+++ b/daemon/process/controls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"primrosespoke.dev/coord/shed"
 	"primrosespoke.dev/coord/table"
@@ -54,6 +55,16 @@
 	})
 }
 
+// Started is called once a process has been built, before it serves, with its log and a
+// function that returns its state for a dump.
+type Started func(log zerolog.Logger, dump func() any)
+
+func (b *base) reportStarted(started Started, c controls) {
+	if started != nil {
+		started(b.log, func() any { return b.dump(c) })
+	}
+}
+
 // state is the JSON of a process's state dump.
 type state struct {
 	ID            string `json:"id"`
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -7,8 +7,9 @@
 	"primrosespoke.dev/daemon/settings"
 )
 
-// RunEntry runs an entry until ctx ends, then drains it. It logs to standard error.
-func RunEntry(ctx context.Context, s *settings.Settings) error {
+// RunEntry runs an entry until ctx ends, then drains it. It logs to standard error. started may be
+// nil.
+func RunEntry(ctx context.Context, s *settings.Settings, started Started) error {
 	b, err := newBase(s)
 	if err != nil {
 		return err
@@ -17,6 +18,7 @@
 	if err != nil {
 		return err
 	}
+	b.reportStarted(started, entryControls{served})
 	return b.run(ctx, served, b.operators(entryControls{served}))
 }
 
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"primrosespoke.dev/daemon/front"
 	"primrosespoke.dev/daemon/settings"
 	"primrosespoke.dev/daemon/telemetry"
@@ -32,9 +28,9 @@
 	ReadinessPath string
 }
 
-// RunFront runs a front until ctx ends. It logs to standard output. On SIGHUP it calls reload,
-// which checks the settings file again.
-func RunFront(ctx context.Context, s *settings.Settings, platform FrontPlatform, reload func() error) error {
+// RunFront runs a front until ctx ends, then drains it. It logs to standard output. started may
+// be nil.
+func RunFront(ctx context.Context, s *settings.Settings, platform FrontPlatform, started Started) error {
 	if s.Front.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Front.MemoryMB<<20)))
 	}
@@ -63,27 +59,8 @@
 		log.Error().Err(err).Msg("not_started")
 		return err
 	}
-	go watchReload(ctx, log, reload)
-	return f.Run(ctx)
-}
-
-// watchReload calls reload on each SIGHUP and logs the result. The settings in use don't
-// change: they are read at the start, and whatever may change in a running process is part of
-// the configuration.
-func watchReload(ctx context.Context, log zerolog.Logger, reload func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			if err := reload(); err != nil {
-				log.Error().Err(err).Msg("settings_unusable")
-				continue
-			}
-			log.Info().Msg("settings_read_again")
-		}
+	if started != nil {
+		started(log, func() any { return f.Dump() })
 	}
+	return f.Run(ctx)
 }
--- a/daemon/systemtest/harness_test.go
+++ b/daemon/systemtest/harness_test.go
@@ -108,6 +108,14 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// signalInSeries sends the signals that must not end a process which drains.
+func (p *proc) signalInSeries() {
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGPIPE, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+		p.signal(s)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // kill ends the process at once, also when it is frozen, and waits for its exit.
 func (p *proc) kill() {
 	p.signal(syscall.SIGKILL)
--- a/daemon/systemtest/leaving_test.go
+++ b/daemon/systemtest/leaving_test.go
@@ -117,6 +117,35 @@
 		Eventually(leaving.done, conditionTimeout).Should(BeClosed())
 		Expect(leaving.err).NotTo(HaveOccurred())
 	})
+
+	// Guards against a signal that does not ask for the end of a process ending it while it
+	// drains.
+	It("by signals in series cuts no answer and exits", func() {
+		leaving := leave("", func(a *member) {
+			a.signal(syscall.SIGHUP)
+			a.signal(syscall.SIGTERM)
+			a.signalInSeries()
+		})
+		Eventually(leaving.done, conditionTimeout).Should(BeClosed())
+		Expect(leaving.err).NotTo(HaveOccurred())
+		Expect(leaving.out.String()).To(And(ContainSubstring("event=settings_read_again"), ContainSubstring("event=state_dump")))
+	})
+
+	It("leaves an entry that drains under signals with all answers", func() {
+		var wg sync.WaitGroup
+		requests := make([]*chat, 6)
+		for i := range requests {
+			requests[i] = &chat{prompt: fmt.Sprint("log ", i), tokens: 200, tier: "crew", stream: i%2 == 0, account: "crew-1"}
+			wg.Go(func() { requests[i].send(entries[0]) })
+		}
+		Eventually(func() int { return executed(agents[0]) + executed(agents[1]) }, conditionTimeout).Should(BeNumerically(">", 0))
+		entries[0].signal(syscall.SIGTERM)
+		entries[0].signalInSeries()
+		wg.Wait()
+		expectComplete(requests)
+		Eventually(entries[0].done, conditionTimeout).Should(BeClosed())
+		Expect(entries[0].err).NotTo(HaveOccurred())
+	})
 })
 
 var _ = Describe("an entry that shuts down", func() {
--- a/daemon/telemetry/async.go
+++ b/daemon/telemetry/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,19 +24,22 @@
 type AsyncWriter struct {
 	out       io.Writer
 	lines     chan []byte
+	closing   chan struct{}
 	dropped   atomic.Int64
+	failing   bool // the last batch could not be written; reported on standard error
 	worker    sync.WaitGroup
 	closeOnce sync.Once
 }
 
 // NewAsyncWriter returns a writer to out that must be closed.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines)}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{})}
 	w.worker.Go(w.run)
 	return w
 }
 
-// Write implements io.Writer. It never blocks: a line that finds the buffer full is dropped.
+// Write implements io.Writer. It never blocks: a line that finds the buffer full is dropped, and
+// so is one after Close.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
 	select {
 	case w.lines <- append([]byte(nil), line...):
@@ -45,9 +49,9 @@
 	return len(line), nil
 }
 
-// Close writes the buffered lines and stops the goroutine. Write must not be called after it.
+// Close writes the buffered lines and stops the goroutine.
 func (w *AsyncWriter) Close() {
-	w.closeOnce.Do(func() { close(w.lines) })
+	w.closeOnce.Do(func() { close(w.closing) })
 	w.worker.Wait()
 }
 
@@ -58,15 +62,14 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case line, open := <-w.lines:
+		case line := <-w.lines:
 			batch = append(batch, line...)
-			if !open {
-				w.flush(batch)
-				return
-			}
 			if len(batch) < flushBytes {
 				continue
 			}
+		case <-w.closing:
+			w.flush(w.appendQueued(batch))
+			return
 		case <-ticker.C:
 		}
 		w.flush(batch)
@@ -74,6 +77,14 @@
 	}
 }
 
+// appendQueued appends the lines that are in the buffer now.
+func (w *AsyncWriter) appendQueued(batch []byte) []byte {
+	for range len(w.lines) {
+		batch = append(batch, <-w.lines...)
+	}
+	return batch
+}
+
 // flush writes a batch and, at its end, the number of lines dropped since the last one.
 func (w *AsyncWriter) flush(batch []byte) {
 	if n := w.dropped.Swap(0); n > 0 {
@@ -83,7 +94,12 @@
 	if len(batch) == 0 {
 		return
 	}
-	if _, err := w.out.Write(batch); err != nil {
+	_, err := w.out.Write(batch)
+	if err != nil {
 		w.dropped.Add(1) // logged with the next batch; a failed batch counts as one line
 	}
+	if err != nil && !w.failing {
+		fmt.Fprintf(os.Stderr, "log lines are lost: %v\n", err)
+	}
+	w.failing = err != nil
 }
--- a/daemon/telemetry/telemetry_test.go
+++ b/daemon/telemetry/telemetry_test.go
@@ -64,3 +64,17 @@
 	g.Expect(slow.out.String()).To(ContainSubstring("event=log_lines_dropped count="))
 	g.Expect(bytes.Count(slow.out.Bytes(), line)).To(BeNumerically("<", 20_000))
 }
+
+// Guards against a panic of a goroutine that logs while its process ends.
+func TestAsyncWriterIgnoresLinesAfterClose(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	w := telemetry.NewAsyncWriter(&out)
+	_, err := w.Write([]byte("before\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	w.Close()
+	_, err = w.Write([]byte("after\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	w.Close()
+	g.Expect(out.String()).To(Equal("before\n"))
+}
