platform, front: rows of other writers are checked for their range

Operators saw some 30 lines a second for a front's row without a usable address, which also counted as a front.

Rows of fronts were decoded and not checked; keys that are not UTF-8 or hold line breaks were taken for IDs.

Nested 100,000 deep, numbers beyond all types, ports out of range, megabytes, bytes that are no text, the same field twice: each is logged once with its key.

--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"io"
 	"math"
+	"net/netip"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/mirror"
 )
 
 // newIdleControl returns the control state of a front that does not run, with two endpoints.
@@ -113,3 +117,21 @@
 	p.data = p.data[n:]
 	return n, nil
 }
+
+// Any row is one of another entry that reports can be sent to, or an error.
+func FuzzDecodeMember(f *testing.F) {
+	f.Add("front-2", []byte(`{"address":"127.0.0.1:7600","failure_domain":"a","incarnation":"x","beat":1,"convicted_parts":[{"id":"zz","trials":-1}]}`))
+	f.Add("front-2", []byte(`{"address":"127.0.0.1:65536"}`))
+	f.Add("front-2", []byte(`{"address":"127.0.0.1:0","beat":99999999999999999999}`))
+	f.Add("\xff", []byte(strings.Repeat("[", 100_000)))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		g := NewWithT(t)
+		row, err := decodeMember(mirror.Record{Key: key, Value: value})
+		if err != nil {
+			return
+		}
+		_, err = netip.ParseAddrPort(row.Address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(utf8.ValidString(key)).To(BeTrue())
+	})
+}
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"sort"
+	"strings"
 	"time"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/mirror"
 )
@@ -41,10 +46,34 @@
 	return &members{self: self, ttl: ttl, all: map[string]*memberState{}}
 }
 
+// errMemberAddress is why a row or report names no entry that reports can be sent to.
+var errMemberAddress = errors.New("no IP address and port")
+
+// isMemberAddress tells whether reports can be sent to an address: an IP address and a port.
+func isMemberAddress(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0
+}
+
+// decodeMember decodes a row. Another program may have written it.
+func decodeMember(r mirror.Record) (memberRow, error) {
+	var row memberRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return memberRow{}, errors.Wrap(err, "row")
+	}
+	switch {
+	case r.Key == "" || strings.ContainsRune(r.Key, utf8.RuneError):
+		return memberRow{}, errors.New("key is no name of an entry")
+	case !isMemberAddress(row.Address):
+		return memberRow{}, errMemberAddress
+	}
+	return row, nil
+}
+
 // put stores a row. It reports whether the set of entries, an address or a failure domain
 // changed.
 func (m *members) put(now time.Duration, id string, row member) bool {
-	if id == m.self || row.Address == "" {
+	if id == m.self {
 		return false
 	}
 	known := m.all[id]
@@ -63,7 +92,7 @@
 // recordReport records that a report of an entry arrived. It reports whether the set of
 // entries or an address changed.
 func (m *members) recordReport(now time.Duration, id, address, incarnation string) bool {
-	if id == m.self || address == "" {
+	if id == m.self {
 		return false
 	}
 	if known := m.all[id]; known != nil {
@@ -152,8 +181,8 @@
 			changed = c.members.remove(r.Key) || changed
 			continue
 		}
-		var decoded memberRow
-		if err := json.Unmarshal(r.Value, &decoded); err != nil {
+		decoded, err := decodeMember(r)
+		if err != nil {
 			c.front.log.Warn().Str("member", r.Key).Err(err).Msg("member_row_unusable")
 			continue
 		}
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -195,6 +195,9 @@
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
+	if !isMemberAddress(r.Address) {
+		return nil, errors.Wrap(errMemberAddress, "report")
+	}
 	r.dropUnusable()
 	return reportMessage{r}, nil
 }
