--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -195,9 +195,6 @@
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
-	if !isMemberAddress(r.Address) {
-		return nil, errors.Wrap(errMemberAddress, "report")
-	}
 	r.dropUnusable()
 	return reportMessage{r}, nil
 }
@@ -250,6 +247,10 @@
 	if r.From == c.front.config.ID || r.From == "" {
 		return
 	}
+	if !isMemberAddress(r.Address) {
+		c.front.log.Warn().Str("member", r.From).Str("address", r.Address).Err(errMemberAddress).Msg("report_unreadable")
+		return
+	}
 	if known := c.members.all[r.From]; known != nil && known.Incarnation != r.Incarnation {
 		c.tellOrigins(c.origins.Running()...) // the incarnation before may have been their home
 	}
