front, origin: a version that came and went between two reads counts as listed

Operators saw: at a front that was cut off or stood still while endpoints of a new version joined, streams went on at an endpoint of another version (ORDER).

Cause: a front that reaches no home of a stream's origin falls back on the list. It recorded the versions at the end of each read; a version that was added and removed in one read, or between two reads of a copy, left no trace, though other fronts may have begun streams there.

Change: all rows of a read count; a removal of an endpoint that was never seen here, and a whole list after the first one, restart the history, which the other fronts' summaries extend again.

--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -209,6 +209,7 @@
 	to      Position
 	listed  map[string]map[string]time.Duration // by service and version: when last listed
 	current map[string][]string                 // versions of the last observation, by service
+	missed  bool                                // endpoints may have come and gone before the next observation
 }
 
 // historyRetention is how long a version that is not listed any more is remembered. A longer time
@@ -221,17 +222,25 @@
 	return &History{maxGap: maxGap, listed: map[string]map[string]time.Duration{}}
 }
 
+// Miss records that endpoints may have been listed and removed since the last observation, which
+// the next one does not show.
+func (h *History) Miss() {
+	h.missed = true
+}
+
 // Observe records the versions that are listed as of a time, by service, and the place in the
-// list up to which that is known.
-func (h *History) Observe(asOf time.Duration, to Position, versions map[string][]string) {
+// list up to which that is known. passed holds those that were listed since the last observation
+// and may be gone already.
+func (h *History) Observe(asOf time.Duration, to Position, versions, passed map[string][]string) {
 	if h.known && asOf < h.asOf {
 		return
 	}
-	if !h.known || asOf > h.asOf+h.maxGap || to.Era != h.to.Era {
-		h.since, h.from = asOf, to
+	if !h.known || h.missed || asOf > h.asOf+h.maxGap || to.Era != h.to.Era {
+		h.since, h.from, h.missed = asOf, to, false
 	}
 	h.known, h.asOf, h.to = true, asOf, to
 	h.add(h.current) // what is gone may have been listed until now
+	h.add(passed)
 	h.add(versions)
 	h.current = versions
 }
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -118,7 +118,7 @@
 		if s < 100 {
 			names = append(names, "v0")
 		}
-		h.Observe(time.Duration(s)*second, origin.Position{Offset: s}, versions(names...))
+		h.Observe(time.Duration(s)*second, origin.Position{Offset: s}, versions(names...), nil)
 	}
 	for lifetime, want := range map[time.Duration]origin.Verdict{time.Minute: origin.Sole, time.Hour: origin.Several, 2 * time.Hour: origin.Several} {
 		_, verdict := h.SoleVersion("svc", 3999*second, lifetime)
@@ -134,7 +134,7 @@
 	// follow observes a list each second.
 	follow := func(h *origin.History, from, to int, names ...string) {
 		for s := from; s <= to; s++ {
-			h.Observe(time.Duration(s)*second, origin.Position{Era: 1, Offset: int64(s)}, versions(names...))
+			h.Observe(time.Duration(s)*second, origin.Position{Era: 1, Offset: int64(s)}, versions(names...), nil)
 		}
 	}
 	summary := func(since, to int, names ...string) origin.Summary {
@@ -204,7 +204,7 @@
 							names = append(names, v)
 						}
 					}
-					histories[i].Observe(now, origin.Position{Offset: int64(s)}, versions(names...))
+					histories[i].Observe(now, origin.Position{Offset: int64(s)}, versions(names...), nil)
 				}
 				if w, ok := histories[i].Summary(); ok && rapid.Bool().Draw(t, "tells") {
 					if to := histories[(i+1)%3]; to != nil {
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -37,6 +37,7 @@
 	origins              *origin.Log                   // of streams, by software version
 	untoldOrigins        []origin.Origin               // that their homes are to be told
 	versions             *origin.History               // of the list of endpoints
+	passedVersions       map[string][]string           // of rows that were read since the list was last observed, by service
 	soleQueries          []soleVersionQuery
 	listEra              int64                    // of the directory's offsets; see mirror.Batch
 	limiter              *allowance.Limiter       // of usage caps
@@ -82,9 +83,11 @@
 		startedAt:  f.now(),
 		origins:    origin.NewLog(origin.DefaultConfig()),
 		versions:   origin.NewHistory(f.config.LeaveWithin),
-		undecided:  map[uint64]chan<- decision{},
-		cancelable: map[uint64]cancelableAttempt{},
-		members:    newMembers(f.config.ID, f.config.Timing.MemberTTL),
+
+		passedVersions: map[string][]string{},
+		undecided:      map[uint64]chan<- decision{},
+		cancelable:     map[uint64]cancelableAttempt{},
+		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
 	}
 	c.scheduler.SetGate(c.sendLimits)
 	return c
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -41,6 +41,7 @@
 		c.rewindList(now, m.era)
 	}
 	changed := false
+	c.observePassed(m)
 	listed := map[string]bool{}
 	for _, r := range m.rows {
 		listed[r.id] = !r.removed
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"iter"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -290,6 +291,32 @@
 	c.soleQueries = pending
 }
 
+// observePassed records the software versions of all rows that were read, also of those that a
+// later row replaces or removes: other entries may have read the list in between, and begun
+// streams there. A copy of the list, and the changes in it, hold the newest row of each endpoint
+// only, so that endpoints which came and went since the last read don't show in them, except by
+// the removal of one that is not known here.
+func (c *control) observePassed(m rowsMessage) {
+	missed := m.full
+	here := map[string]bool{}
+	for _, r := range m.rows {
+		switch {
+		case r.malformed != "":
+		case !r.removed:
+			here[r.id] = true
+			if versions := c.passedVersions[r.endpoint.Service]; !slices.Contains(versions, r.endpoint.Version) {
+				c.passedVersions[r.endpoint.Service] = append(versions, r.endpoint.Version)
+			}
+		case r.offset >= c.listEnd && !here[r.id]:
+			_, known := c.born[r.id]
+			missed = missed || !known
+		}
+	}
+	if missed {
+		c.versions.Miss()
+	}
+}
+
 // observeVersions records which software versions are listed.
 func (c *control) observeVersions() {
 	age, known := c.list.Age(c.front.now())
@@ -300,7 +327,8 @@
 	for _, e := range c.directory.All() {
 		versions[e.Service] = append(versions[e.Service], e.Version)
 	}
-	c.versions.Observe(c.front.now()-age, origin.Position{Era: c.listEra, Offset: c.listEnd}, versions)
+	c.versions.Observe(c.front.now()-age, origin.Position{Era: c.listEra, Offset: c.listEnd}, versions, c.passedVersions)
+	clear(c.passedVersions)
 	c.answerSoleQueries(c.front.now())
 }
 
