front: a rejection counts only if it names the request

Operators saw bookings that were refused with a promise and ran, and bookings that ran twice, with real processes. That this is the cause is not shown; it is a way there that a stand-in shows: an endpoint writes an answer of its own accord, as servers do when they close an idle connection, and runs the booking that arrived meanwhile.

Cause: an error without a request ID is taken for the answer to the request, and then its X-Not-Executed was taken as proof, and a 408, 429 or 503 without it was passed on although these statuses promise that nothing was run.

Evidence: TestAnswerThatProvesNothingIsNoRejection; four of its six cases failed before.

Change: a rejection counts if it names the request or is a 421; an unproved promise becomes 502 unless the endpoint sealed it.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -233,6 +233,11 @@
 		d.front.send(leavingMessage{endpoint: p.Endpoint, born: p.Born, requestID: d.call.ID})
 	}
 	d.reportLimit(p, head)
+	if !d.isProof(resp.StatusCode, head) {
+		d.runs++
+		conn.Close()
+		return attemptResult{kind: mayHaveRun, reason: reasonNoProof}, scheduler.Failed
+	}
 	if head.NotRun {
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes)); err != nil {
 			conn.Close()
@@ -261,6 +266,33 @@
 	return d.handleAnswer(a, success)
 }
 
+// reasonNoProof is why a rejection does not count as one.
+const reasonNoProof = "rejected without proof that the request was not run"
+
+// isProof reports whether an answer that tells callers that their request was not run shows that.
+// An endpoint that closes an idle connection may write an answer of its own accord, which then
+// arrives as the answer to a request that it runs or that it has not read. So a rejection counts
+// only if it names the request, and a status that promises that nothing was run only if the
+// endpoint states that too or has sealed its answer.
+func (d *delivery) isProof(status int, head Head) bool {
+	switch {
+	case head.NotRun:
+		return head.RequestID == d.call.ID || head.Misdirected
+	case isPromise(status):
+		return head.Sealed
+	}
+	return true
+}
+
+// isPromise reports whether a status tells a caller that the request was not run and never will be.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 const (
 	// maxRejectionBytes limits how much of a rejection's body is read so that its
 	// connection can be reused.
