--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -233,6 +233,7 @@
 // and may be gone already.
 func (h *History) Observe(asOf time.Duration, to Position, versions, passed map[string][]string) {
 	if h.known && asOf < h.asOf {
+		h.add(passed) // the caller does not tell them again
 		return
 	}
 	if !h.known || h.missed || asOf > h.asOf+h.maxGap || to.Era != h.to.Era {
--- a/coord/origin/origin_test.go
+++ b/coord/origin/origin_test.go
@@ -226,3 +226,17 @@
 		}
 	})
 }
+
+// Guards against a version that was passed over getting lost with an observation that is older than
+// the last one.
+func TestPassedVersionsOfAnOlderObservationCount(t *testing.T) {
+	g := NewWithT(t)
+	h := origin.NewHistory(10 * time.Second)
+	now := map[string][]string{"svc": {"v1"}}
+	h.Observe(1*time.Second, origin.Position{Offset: 1}, now, nil)
+	h.Observe(5*time.Second, origin.Position{Offset: 5}, now, nil)
+	h.Observe(4*time.Second, origin.Position{Offset: 6}, now, map[string][]string{"svc": {"v2"}})
+	h.Observe(6*time.Second, origin.Position{Offset: 6}, now, nil)
+	_, verdict := h.SoleVersion("svc", 6*time.Second, 4*time.Second)
+	g.Expect(verdict).To(Equal(origin.Several))
+}
