verdict: a known red spec does not hide the others of its suite

KNOWN-RED.txt may list a spec of a ginkgo suite; a suite counts as known red only if the specs that its summary names are all listed and as many as it counts. One Go test holds all 18 specs, so listing that would have passed over all.

--- a/daemon/internal/verdict/main.go
+++ b/daemon/internal/verdict/main.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -40,7 +42,7 @@
 }
 
 func main() {
-	known := flag.String("known", "KNOWN-RED.txt", "file with known failures, one `test: PACKAGE NAME` line an entry")
+	known := flag.String("known", "KNOWN-RED.txt", "file with known failures, one `test: PACKAGE NAME` or `spec: PACKAGE NAME TEXT` line an entry")
 	status := flag.Int("status", 0, "exit status of go test")
 	flag.Parse()
 	results, err := readResults(os.Stdin, os.Stdout)
@@ -106,8 +108,10 @@
 	}
 	listed := map[string]bool{}
 	for _, line := range strings.Split(string(data), "\n") {
-		if key, ok := strings.CutPrefix(line, "test: "); ok {
-			listed[strings.TrimSpace(key)] = true
+		for _, prefix := range []string{"test: ", "spec: "} {
+			if key, ok := strings.CutPrefix(line, prefix); ok {
+				listed[strings.TrimSpace(key)] = true
+			}
 		}
 	}
 	return listed, nil
@@ -127,7 +131,7 @@
 		case r.action != "fail" && r.action != "build-fail":
 		case !isTest:
 			s.packageFailures = append(s.packageFailures, pkg)
-		case listed[key] || onlyKnownRedSubtestsFailed(results, listed, pkg, test):
+		case listed[key] || onlyKnownRedSubtestsFailed(results, listed, pkg, test) || onlyKnownRedSpecsFailed(r.output.String(), listed, key):
 			s.knownRed = append(s.knownRed, key)
 		default:
 			s.failed = append(s.failed, key)
@@ -155,6 +159,39 @@
 	return found
 }
 
+// Lines of the summary that ginkgo prints at the end of a suite with failures.
+var (
+	terminalColor = regexp.MustCompile("\x1b\\[[0-9;]*m")
+	failureCount  = regexp.MustCompile(`(?m)^Summarizing (\d+) Failures?:$`)
+	failedSpec    = regexp.MustCompile(`(?m)^ +\[(?:FAIL|PANICKED!|INTERRUPTED|TIMEDOUT|ABORTED)\] (.*)$`)
+)
+
+// failedSpecs returns the texts of the failed specs of a ginkgo suite, and false if the output
+// names fewer or more than it counts.
+func failedSpecs(output string) (specs []string, complete bool) {
+	output = terminalColor.ReplaceAllString(output, "")
+	count := failureCount.FindStringSubmatchIndex(output)
+	if count == nil {
+		return nil, false
+	}
+	for _, match := range failedSpec.FindAllStringSubmatch(output[count[1]:], -1) {
+		specs = append(specs, strings.TrimSpace(match[1]))
+	}
+	return specs, strconv.Itoa(len(specs)) == output[count[2]:count[3]]
+}
+
+// onlyKnownRedSpecsFailed reports whether the test is a ginkgo suite of which specs failed, all of
+// them listed by the test's key and their text.
+func onlyKnownRedSpecsFailed(output string, listed map[string]bool, key string) bool {
+	specs, complete := failedSpecs(output)
+	for _, spec := range specs {
+		if !listed[key+" "+spec] {
+			return false
+		}
+	}
+	return complete && len(specs) > 0
+}
+
 // packagesWithoutFailedTest returns the failed packages of which no test failed. The cause is
 // a build failure, a panic, a data race outside a test or a time-out.
 func packagesWithoutFailedTest(s summary) []string {
@@ -181,6 +218,10 @@
 	}
 	for _, key := range s.knownRed {
 		fmt.Fprintf(out, "\n--- known red, passed over: %s\n", key)
+		specs, _ := failedSpecs(results[key].output.String())
+		for _, spec := range specs {
+			fmt.Fprintf(out, "    %s\n", spec)
+		}
 	}
 	failed := len(s.failed) + len(s.packageFailures)
 	fmt.Fprintf(out, "\n%d known red\n%d passed, %d failed, %d skipped\n", len(s.knownRed), s.passed, failed, s.skipped)
