agent: a run that begins during a lookup is not taken for the one looked up

Callers saw: of five accounts that chose the same request ID, one got 502, "the run of this request ID is no longer known", without a run.

Cause: after its start an agent asks its endpoint for a run of an earlier incarnation by the ID that the caller chose, unless a run of another account has that ID. It looked for such a run before it asked, so one that began in between was taken for the caller's own; the entry joined it and found nothing.

Change: if the endpoint knows the ID, the agent looks again. A run is recorded before the endpoint gets it, so the second look sees it.

--- a/daemon/agent/register.go
+++ b/daemon/agent/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -68,11 +69,31 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "ask endpoint for the request ID")
 		}
+		if known {
+			// A run of another account may have got the ID since, and be the one that is known.
+			known, err = ask(ctx, s.agent.control, func(reply chan bool) message {
+				return earlierRunMessage{requestID: req.RequestId, endpointID: id, reply: reply}
+			})
+			if err != nil {
+				return nil, err
+			}
+		}
 		reply.Known = reply.Known || known
 	}
 	return reply, nil
 }
 
+// earlierRunMessage asks whether a run that the endpoint knows by an ID can be one of an earlier
+// incarnation with the request ID.
+type earlierRunMessage struct {
+	requestID, endpointID string
+	reply                 chan bool
+}
+
+func (m earlierRunMessage) apply(c *control) {
+	m.reply <- slices.Contains(c.earlierEndpointIDs(m.requestID), m.endpointID)
+}
+
 // locateResult is what the agent knows of a request ID.
 type locateResult struct {
 	reply *nodepb.LocateReply
