front, platform: streams go on after all fronts were killed while versions mix

Cause: the origins of streams lived in the memory of the front that began them and of two others.

Change: while several versions of a service are listed, and for as long after as streams last, each front appends the origins of its running streams to a log in the store every 0.5 s. A front that finds an origin nowhere else reads what was appended. Nothing is written or read while one version serves.

--- a/coord/origin/origin.go
+++ b/coord/origin/origin.go
@@ -177,6 +177,12 @@
 	return running
 }
 
+// IsRunning reports whether a stream of this entry has not ended.
+func (l *Log) IsRunning(k Key) bool {
+	r := l.records[k]
+	return r != nil && r.running
+}
+
 // Len returns how many origins are known.
 func (l *Log) Len() int {
 	return len(l.records)
@@ -290,6 +296,19 @@
 	return w, h.known
 }
 
+// Mixed reports whether several versions of a service were listed in a time before the last
+// observation. Unlike the lack of a sole version, that does not hold for a history that is too
+// short.
+func (h *History) Mixed(service string, before time.Duration) bool {
+	n := 0
+	for _, seen := range h.listed[service] {
+		if seen >= h.asOf-before {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Verdict says whether a service had one version only.
 type Verdict int
 
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -106,10 +106,13 @@
 	TopicEndpoints
 	// TopicMembers holds a row for each entry, under its ID.
 	TopicMembers
+	// TopicOrigins holds the origins of streams, without keys, in the order in which they were
+	// saved. The store drops the oldest ones.
+	TopicOrigins
 )
 
 var topicNames = map[Topic]string{
-	TopicConfiguration: "configuration", TopicEndpoints: "endpoints", TopicMembers: "members",
+	TopicConfiguration: "configuration", TopicEndpoints: "endpoints", TopicMembers: "members", TopicOrigins: "origins",
 }
 
 // ErrTrimmed means that the store no longer has the records at the offset: the newest
@@ -126,6 +129,11 @@
 	// Read returns the records from an offset on. If there is none, it waits for the first
 	// one, at most for the time wait.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (mirror.Batch, error)
+	// ReadLog returns the records of a topic without keys from an offset on, or from the oldest one
+	// that the store has if that is higher. Of more than limit records it returns the newest ones.
+	ReadLog(ctx context.Context, topic Topic, from, limit int64) (mirror.Batch, error)
+	// Append adds a record to a topic without keys.
+	Append(ctx context.Context, topic Topic, value []byte) error
 	// Put writes a row; a nil value removes it.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// DecodeConfiguration decodes the row of the configuration. For other rows it returns
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -38,6 +38,7 @@
 	untoldOrigins        []origin.Origin               // that their homes are to be told
 	versions             *origin.History               // of the list of endpoints
 	passedVersions       map[string][]string           // of rows that were read since the list was last observed, by service
+	saving               originSaving
 	soleQueries          []soleVersionQuery
 	listEra              int64                    // of the directory's offsets; see mirror.Batch
 	limiter              *allowance.Limiter       // of usage caps
@@ -85,6 +86,7 @@
 		versions:   origin.NewHistory(f.config.LeaveWithin),
 
 		passedVersions: map[string][]string{},
+		saving:         originSaving{mixed: map[string]bool{}},
 		undecided:      map[uint64]chan<- decision{},
 		cancelable:     map[uint64]cancelableAttempt{},
 		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
@@ -144,6 +146,7 @@
 	c.plan()
 	c.sendReports(now)
 	c.sendOrigins(now)
+	c.saveOrigins(now)
 	c.answerSoleQueries(now)
 }
 
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -158,7 +158,10 @@
 	default:
 		change = c.directory.Put(r.offset, r.endpoint)
 		if change == directory.Added {
-			c.tellOrigins(c.origins.Listed(r.id, r.endpoint.Born, r.endpoint.Version)...)
+			for _, ambiguous := range c.origins.Listed(r.id, r.endpoint.Born, r.endpoint.Version) {
+				c.tellOrigins(ambiguous)
+				c.saveOrigin(ambiguous)
+			}
 		}
 	}
 	if change != directory.Unchanged {
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"primrosespoke.dev/coord/origin"
 	"primrosespoke.dev/coord/quarantine"
 	"primrosespoke.dev/daemon/boottime"
 	"primrosespoke.dev/daemon/peer/backend"
@@ -65,8 +66,11 @@
 	lastDeliveryID atomic.Uint64           // last value of delivery.id
 	topics         map[Topic]*relayedTopic // served to other fronts
 	relay          *relayClient
-	membersRead    sync.Once     // guards the close of membersKnown
-	membersKnown   chan struct{} // closed when the list of entries has been read
+	originBatches  chan []origin.Origin // to be saved, from the control goroutine
+	originReads    chan chan struct{}   // each is closed once the saved origins were read
+	memberCount    atomic.Int64         // of entries, this one included; as last known
+	membersRead    sync.Once            // guards the close of membersKnown
+	membersKnown   chan struct{}        // closed when the list of entries has been read
 }
 
 // New opens the listeners of a front.
@@ -82,6 +86,7 @@
 		pool: backend.NewPool(cfg.Backend), metrics: m,
 		inbox: make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
 		topics: newRelayedTopics(), relay: newRelayClient(), membersKnown: make(chan struct{}),
+		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
 	}
 	f.configuration.Store(&configurationState{})
 	f.endpointView.Store(&endpointView{})
@@ -159,7 +164,7 @@
 	background.Go(func() { newControl(f).run(f.baseContext); close(f.stopped) })
 	background.Go(f.listen)
 	go f.serveRelay() // not waited for: nothing depends on its end
-	for _, follow := range []func(context.Context){f.followConfiguration, f.followEndpoints, f.followMembers} {
+	for _, follow := range []func(context.Context){f.followConfiguration, f.followEndpoints, f.followMembers, f.writeOrigins, f.readOrigins} {
 		background.Go(func() { follow(f.baseContext) })
 	}
 	rowContext, removeRow := context.WithCancel(f.baseContext)
--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -14,6 +14,7 @@
 
 	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/mirror"
+	"primrosespoke.dev/coord/origin"
 )
 
 // newIdleControl returns the control state of a front that does not run, with two endpoints.
@@ -135,3 +136,26 @@
 		g.Expect(utf8.ValidString(key)).To(BeTrue())
 	})
 }
+
+// Any record is origins, which are encoded to the same again, or an error.
+func FuzzDecodeOrigins(f *testing.F) {
+	g := NewWithT(f)
+	data, err := encodeOrigins([]origin.Origin{{Key: 1, Service: "s", Version: "v1"}, {Key: math.MaxUint64, Service: "s", Version: "v1"}, {Key: 1, Service: "s", Version: "v2", Ambiguous: true}})
+	g.Expect(err).NotTo(HaveOccurred())
+	f.Add(data)
+	f.Add([]byte{})
+	f.Add(data[:len(data)-1])
+	f.Add(bytes.Repeat([]byte{0x81}, 10_000))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := NewWithT(t)
+		origins, err := decodeOrigins(data)
+		if err != nil {
+			return
+		}
+		again, err := encodeOrigins(origins)
+		g.Expect(err).NotTo(HaveOccurred())
+		decoded, err := decodeOrigins(again)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(decoded).To(ConsistOf(origins))
+	})
+}
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -199,6 +199,7 @@
 // usage caps and retry budgets, the scheduler and the relay tree.
 func (c *control) membersChanged(now time.Duration) {
 	names := c.members.names()
+	c.front.memberCount.Store(int64(c.members.count()))
 	if c.membersRead { // usage caps are divided by the number of all entries, not of those heard so far
 		c.limiter.SetPeers(now, names)
 	}
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -66,8 +66,8 @@
 	return ""
 }
 
-// lookUpOrigin asks this entry, the homes of the attempt, and then the history of the list. It
-// also returns who knew it.
+// lookUpOrigin asks this entry, the homes of the attempt, the history of the list, and then the
+// store. It also returns who knew it.
 func (d *delivery) lookUpOrigin() (origin.Origin, string) {
 	if d.call.Resumes != "" {
 		key := origin.KeyOf(d.accountName(), d.call.Resumes)
@@ -98,7 +98,14 @@
 			return origin.Origin{Service: d.service, Version: version}, "sole_version"
 		}
 	case <-d.requestContext.Done():
+		return origin.Origin{}, "unknown"
 	case <-d.front.stopped:
+		return origin.Origin{}, "unknown"
+	}
+	if d.call.Resumes != "" {
+		if o, ok := d.savedOrigin(origin.KeyOf(d.accountName(), d.call.Resumes)); ok {
+			return o, "store"
+		}
 	}
 	return origin.Origin{}, "unknown"
 }
@@ -195,7 +202,9 @@
 
 func (m streamBegunMessage) apply(c *control) {
 	p := m.placement
-	c.tellOrigins(c.origins.Begin(c.front.now(), origin.Origin{Key: m.key, Service: m.service, Version: p.Version}, p.Endpoint, p.Born))
+	begun := c.origins.Begin(c.front.now(), origin.Origin{Key: m.key, Service: m.service, Version: p.Version}, p.Endpoint, p.Born)
+	c.tellOrigins(begun)
+	c.saveOrigin(begun)
 }
 
 // streamEndedMessage reports that a caller's stream, which began here, has ended.
@@ -216,13 +225,13 @@
 
 // retainOrigins keeps origins for as long as callers of any route may take their streams up.
 func (c *control) retainOrigins(routes iter.Seq[*routing.Route]) {
-	longest := origin.DefaultConfig().Retention
+	c.saving.lifetime = 0
 	for r := range routes {
 		if r.Resumable {
-			longest = max(longest, streamLifetime(r))
+			c.saving.lifetime = max(c.saving.lifetime, streamLifetime(r))
 		}
 	}
-	c.origins.SetRetention(longest)
+	c.origins.SetRetention(max(c.saving.lifetime, origin.DefaultConfig().Retention))
 }
 
 // sendOrigins tells the homes of streams which version began them.
@@ -329,6 +338,7 @@
 	}
 	c.versions.Observe(c.front.now()-age, origin.Position{Era: c.listEra, Offset: c.listEnd}, versions, c.passedVersions)
 	clear(c.passedVersions)
+	c.updateMixed(versions)
 	c.answerSoleQueries(c.front.now())
 }
 
