front: a denial names the proof that its configuration was the newest

Callers saw requests denied as only an older configuration allows, and the record of it could not tell a wrong proof from a version that is not put in force, nor from a denial by the second check or by an endpoint: request_denied had the version as of the log line and its age only.

It now has the version, age and proof of the very state that the check used: source, kind of read, offset and duration; the reasons of the check before the send differ from those at arrival; request_ended names the status of an endpoint's answer that was passed on. A histogram counts denials by age, status and kind of proof, and a line says when the proofs come from elsewhere.

No decision changes.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -42,6 +42,7 @@
 
 // writeAnswer sends an endpoint's answer to the caller unchanged.
 func (d *delivery) writeAnswer(a *answer) outcome {
+	d.endpointStatus = a.status
 	d.writeHead(a.header)
 	if d.request.Method != http.MethodHead {
 		d.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -99,9 +100,16 @@
 // deny answers a request that is invalid or not allowed.
 func (d *delivery) deny(status int, reason string) outcome {
 	d.problemAnswer(status, reportedNotRun, reason)
-	d.front.log.Info().Str("request_id", d.call.ID).Int("status", status).Str("reason", reason).
-		Str("host", d.request.Host).Int64("version", d.version()).
-		Int64("configuration_age_ms", d.front.configurationAge().Milliseconds()).Msg("request_denied")
+	e := d.front.log.Info().Str("request_id", d.call.ID).Int("status", status).Str("reason", reason).
+		Str("host", d.request.Host).Int("placements", d.placements)
+	if state := d.checkedBy; state != nil && state.table != nil {
+		age, _ := state.freshness.Age(d.checkedAt)
+		d.front.metrics.denied(status, state.proof.kind, age)
+		e = e.Int64("version", state.table.Version).Int64("configuration_age_ms", age.Milliseconds()).
+			Str("proof_source", state.proof.source).Str("proof_kind", state.proof.kind).Int64("proof_next", state.proof.next).
+			Int64("proof_took_ms", state.proof.took.Milliseconds())
+	}
+	e.Msg("request_denied")
 	return outcomeDenied
 }
 
@@ -213,6 +221,9 @@
 		d.front.metrics.firstByte.Record(d.front.baseContext, first.Seconds())
 		e = e.Int64("first_byte_ms", first.Milliseconds()).Int64("longest_gap_ms", d.longestGap.Milliseconds())
 	}
+	if d.endpointStatus != 0 {
+		e = e.Int("endpoint_status", d.endpointStatus)
+	}
 	e.Msg("request_ended")
 }
 
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -172,8 +172,10 @@
 		return finishedWith(d.giveUp(reason)), false
 	case refusal == routing.NoRoute:
 		return finishedWith(d.deny(http.StatusNotFound, "no such route any more")), false
+	case refusal == routing.UnknownKey:
+		return finishedWith(d.deny(http.StatusUnauthorized, "key removed")), false
 	case !same:
-		return finishedWith(d.deny(http.StatusUnauthorized, "unknown key")), false
+		return finishedWith(d.deny(http.StatusUnauthorized, "key of another account")), false
 	}
 	before := d.admission.Version
 	d.adopt(admission)
--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -15,6 +15,8 @@
 type configurationState struct {
 	table     *routing.Table
 	freshness routing.Freshness
+	// proof is the one that freshness rests on.
+	proof proof
 	// storeOut is set if requests may be sent by the configuration whatever its age, since no
 	// entry can read a newer one.
 	storeOut bool
@@ -22,6 +24,36 @@
 	replaced chan struct{}
 }
 
+// proof says when, and by what kind of read, a configuration was shown to be the newest.
+type proof struct {
+	asOf   time.Duration
+	source string // address of another front, or sourceStore
+	kind   string
+	next   int64         // the offset up to which the topic was read
+	took   time.Duration // from the send of the read to the end of the answer
+}
+
+// Values of proof.kind.
+const (
+	proofWhole   = "whole"   // the newest record of each key
+	proofChanges = "changes" // the records from an offset on
+	proofEmpty   = "empty"   // there were none, as of the send of the read
+	proofWaited  = "waited"  // there were none up to the end of the wait
+)
+
+func newProof(got fetchResult) proof {
+	p := proof{asOf: got.asOf, source: got.source, next: got.Next, took: got.took, kind: proofEmpty}
+	switch {
+	case got.full:
+		p.kind = proofWhole
+	case got.waited:
+		p.kind = proofWaited
+	case len(got.Records) > 0:
+		p.kind = proofChanges
+	}
+	return p
+}
+
 func (f *Front) configurationAgeLimit() time.Duration {
 	return shareOf(f.config.ApplyWithin, configurationMaxAgeShare)
 }
@@ -78,6 +110,7 @@
 	for {
 		state := d.front.configuration.Load()
 		admission, refusal, reason := d.check(state)
+		d.checkedBy, d.checkedAt = state, d.front.now()
 		if reason != reasonConfigurationOld {
 			return admission, refusal, reason
 		}
@@ -122,9 +155,17 @@
 	c.publish()
 }
 
-// confirmConfiguration records a time at which the newest version was known.
-func (c *control) confirmConfiguration(asOf time.Duration) {
-	c.configuration.freshness.Confirm(asOf)
-	c.configurationSource.Confirm(asOf)
+// confirmConfiguration records a proof that the newest version was known, and logs where proofs
+// come from when that changes.
+func (c *control) confirmConfiguration(p proof) {
+	if known := c.configuration.proof; p.asOf > known.asOf || known.source == "" {
+		if p.source != known.source {
+			c.front.log.Info().Str("source", p.source).Str("before", known.source).Str("kind", p.kind).Int64("next", p.next).
+				Int64("age_ms", (c.front.now() - p.asOf).Milliseconds()).Msg("configuration_source_changed")
+		}
+		c.configuration.proof = p
+	}
+	c.configuration.freshness.Confirm(p.asOf)
+	c.configurationSource.Confirm(p.asOf)
 	c.assessConfiguration(c.front.now())
 }
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -372,13 +372,11 @@
 // tableMessage delivers a version of the configuration.
 type tableMessage struct {
 	table *routing.Table
-	// asOf is a moment at which it was known to be the newest version, unless partial: then a
-	// newer one existed.
-	asOf    time.Duration
+	// proof shows that it was the newest version, unless partial: then a newer one existed.
+	proof   proof
 	partial bool
-	// relayed, bytes and decodeTime say where the version came from, how large the batch was
-	// that held it and how long that took to decode, for logs.
-	relayed    bool
+	// bytes and decodeTime say how large the batch was that held the version and how long that
+	// took to decode, for logs.
 	bytes      int
 	decodeTime time.Duration
 }
@@ -391,16 +389,16 @@
 		c.logTable(m)
 	}
 	if !m.partial {
-		c.confirmConfiguration(m.asOf) // may publish, so the table must be in place
+		c.confirmConfiguration(m.proof) // may publish, so the table must be in place
 	}
 	c.publish()
 }
 
-// tableCurrentMessage reports that no newer version of the configuration existed at asOf.
-type tableCurrentMessage struct{ asOf time.Duration }
+// tableCurrentMessage reports that no newer version of the configuration existed.
+type tableCurrentMessage struct{ proof proof }
 
 func (m tableCurrentMessage) apply(c *control) {
-	c.confirmConfiguration(m.asOf)
+	c.confirmConfiguration(m.proof)
 	c.publish()
 }
 
@@ -432,8 +430,9 @@
 	t := m.table
 	c.front.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).
 		Int("accounts", len(t.Accounts())).Int("services", len(t.Services())).
-		Bool("relayed", m.relayed).Int("bytes", m.bytes).Int64("decode_ms", m.decodeTime.Milliseconds()).
-		Int64("proof_age_ms", (c.front.now() - m.asOf).Milliseconds()).Msg("configuration_in_force")
+		Bool("relayed", m.proof.source != sourceStore).Int("bytes", m.bytes).Int64("decode_ms", m.decodeTime.Milliseconds()).
+		Int64("proof_age_ms", (c.front.now()-m.proof.asOf).Milliseconds()).
+		Str("proof_source", m.proof.source).Str("proof_kind", m.proof.kind).Int64("proof_next", m.proof.next).Msg("configuration_in_force")
 }
 
 // dumpMessage asks for the state dump.
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -141,7 +141,7 @@
 			sleep(ctx, f.config.Timing.StoreRetry)
 		}
 		if f.hasTable() {
-			f.send(tableCurrentMessage{asOf: got.asOf})
+			f.send(tableCurrentMessage{proof: newProof(got)})
 		}
 	}
 }
@@ -174,7 +174,7 @@
 	if newest == nil {
 		return false
 	}
-	f.send(tableMessage{table: newest, asOf: got.asOf, partial: got.Partial(), relayed: got.relayed, bytes: size, decodeTime: f.now() - begun})
+	f.send(tableMessage{table: newest, proof: newProof(got), partial: got.Partial(), bytes: size, decodeTime: f.now() - begun})
 	return true
 }
 
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -32,6 +32,8 @@
 	content        uint64               // see contentID
 	subjects       []quarantine.Subject // see subjectsOf
 	admission      routing.Admission
+	checkedBy      *configurationState // by which the request was checked last; nil = it was not
+	checkedAt      time.Duration
 	maxRuns        int // by all versions of the configuration that it was checked against
 	service        string
 	arrived        time.Duration   // times are of Front.clock
@@ -43,6 +45,7 @@
 	runs                int             // sends after which the endpoint may have run it
 	placements          int             // how often the request was queued for a placement
 	triedEndpoints      map[string]bool // endpoints that it was placed at, which are avoided
+	endpointStatus      int             // of the endpoint's answer that the caller was sent whole; 0 = none
 	charged             float64         // usage charged to the account
 	answered            bool            // the headers of an answer have been prepared
 	streamStarted       bool            // the status and headers of a stream have been sent to the caller
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -24,6 +24,7 @@
 	versionChanges                           metric.Int64Counter
 	streamsTakenUp                           metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
+	deniedAge                                metric.Float64Histogram
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -54,6 +55,7 @@
 		reportsUnsent:          i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
 		waited:                 i.Seconds("primrosespoke_queue_seconds", "time from the arrival of a request to its first send"),
 		firstByte:              i.Seconds("primrosespoke_first_byte_seconds", "time from the arrival of a request to the first byte of its answer"),
+		deniedAge:              i.Seconds("primrosespoke_denied_configuration_age_seconds", "age of the configuration by which a request was denied, by status and kind of proof"),
 		total:                  i.Seconds("primrosespoke_request_seconds", "time from the arrival of a request to its end"),
 	}
 	return m, i.Err()
@@ -74,6 +76,11 @@
 	m.total.Record(ctx, spent.Seconds(), metric.WithAttributes(attribute.String("route", route)))
 }
 
+// denied records the age of the configuration by which a request was denied.
+func (m *metrics) denied(status int, proofKind string, age time.Duration) {
+	m.deniedAge.Record(context.Background(), age.Seconds(), metric.WithAttributes(attribute.Int("status", status), attribute.String("proof", proofKind)))
+}
+
 // placementVoid counts a placement that was not carried out.
 func (m *metrics) placementVoid(reason string) {
 	m.voidPlacements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -50,8 +50,17 @@
 	asOf time.Duration
 	// relayed is set if the records came from another front.
 	relayed bool
+	// source is the address of that front, or sourceStore.
+	source string
+	// waited is set if asOf is the end of the time for which the read waited for a change.
+	waited bool
+	// took is the time from the send of the read to the end of the answer.
+	took time.Duration
 }
 
+// sourceStore is the source of what was read from the store itself.
+const sourceStore = "store"
+
 // offset is where a reader stands in a topic.
 type offset struct {
 	number int64 // of the next record; -1 = the newest record of each key
@@ -290,11 +299,11 @@
 		return fetchResult{}, err
 	}
 	f.metrics.storeCalls.Add(f.baseContext, 1)
-	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt}
+	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt, source: sourceStore, took: f.now() - sentAt}
 	// An empty answer after the whole wait shows that nothing had changed up to the end of
 	// the wait.
 	if from >= 0 && topic != TopicEndpoints && len(batch.Records) == 0 && f.now() >= sentAt+wait {
-		got.asOf = sentAt + wait
+		got.asOf, got.waited = sentAt+wait, true
 	}
 	return got, nil
 }
@@ -388,7 +397,9 @@
 	// moment at which the other front can have answered: the call's start plus the time for
 	// which it held the call.
 	answeredAt := sentAt + time.Duration(reply.HeldUs)*time.Microsecond
-	got := fetchResult{full: reply.Whole, relayed: true, asOf: answeredAt - time.Duration(reply.AgeUs)*time.Microsecond}
+	got := fetchResult{
+		full: reply.Whole, relayed: true, source: parent, took: f.now() - sentAt, asOf: answeredAt - time.Duration(reply.AgeUs)*time.Microsecond,
+	}
 	if f.now()-got.asOf > f.maxRelayedAge(topic) {
 		return fetchResult{}, "too old"
 	}
