front: an answer that passes records proves only when it was asked for

Callers could be denied by an older configuration: an empty answer that arrived after the end of its wait counted as proof that nothing had changed up to that end, also if it passed records that hold no key. The store answers those at once, so a version may have been written between that answer and the end of the wait, 1.5 s at most, and the bound on the configuration's age has 0.3 s to spare.

Such an answer now proves the time at which it was asked for. One without any record still proves the end of its wait: the store keeps the wait from when the read came, so the answer can't be from before that, however late it arrives.

--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -300,9 +300,9 @@
 	}
 	f.metrics.storeCalls.Add(f.baseContext, 1)
 	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt, source: sourceStore, took: f.now() - sentAt}
-	// An empty answer after the whole wait shows that nothing had changed up to the end of
-	// the wait.
-	if from >= 0 && topic != TopicEndpoints && len(batch.Records) == 0 && f.now() >= sentAt+wait {
+	// An answer without records after the whole wait shows that nothing had changed up to the end
+	// of the wait. One that passes records without a key was given when these came.
+	if from >= 0 && topic != TopicEndpoints && batch.Next == from && !batch.Partial() && f.now() >= sentAt+wait {
 		got.asOf, got.waited = sentAt+wait, true
 	}
 	return got, nil
