front: a version that can't be decoded ends the proofs of the one before

Requests on a route that a newer version holds were denied with 404 without end at a front that can't decode that version: a batch whose only version is unusable was followed by the proof of the read, so the older version counted as the newest from then on, whatever the bound on its age.

The front now remembers the offsets of the newest version that it could decode and of the newest one that it could not. While the latter is the newer one, reads prove nothing for the table: it grows old, and a refusal by it becomes a 503 once it is beyond the bound. What it allows goes on, as a configuration that can't be read must not stop all callers; keys are trusted for MaxConfigurationAge, as while the store is out. Reads of the topic have an age of their own, so that fronts don't turn from their parents to the store meanwhile.

--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -17,6 +17,11 @@
 	freshness routing.Freshness
 	// proof is the one that freshness rests on.
 	proof proof
+	// read is when the topic was last known to be read to its end. It goes on where freshness
+	// does not since table is superseded.
+	read routing.Freshness
+	// superseded is set if the newest version can't be decoded. Table is the one before then.
+	superseded bool
 	// storeOut is set if requests may be sent by the configuration whatever its age, since no
 	// entry can read a newer one.
 	storeOut bool
@@ -24,6 +29,54 @@
 	replaced chan struct{}
 }
 
+// usedWhenOld reports whether what the configuration allows goes on although it may not be the
+// newest.
+func (s *configurationState) usedWhenOld() bool {
+	return s.storeOut || s.superseded
+}
+
+// versionOffsets are the offsets of the newest version of the configuration that could be decoded,
+// and of the newest one that could not.
+type versionOffsets struct{ usable, unusable versionOffset }
+
+// versionOffset is the offset of a version, if there is one.
+type versionOffset struct {
+	offset
+	known bool
+}
+
+func (o versionOffset) before(other versionOffset) bool {
+	if !o.known || !other.known || o.era != other.era {
+		return other.known && (!o.known || o.era < other.era)
+	}
+	return o.number < other.number
+}
+
+// add records a version.
+func (v *versionOffsets) add(at offset, usable bool) {
+	found := versionOffset{offset: at, known: true}
+	if usable {
+		v.merge(versionOffsets{usable: found})
+	} else {
+		v.merge(versionOffsets{unusable: found})
+	}
+}
+
+// merge records the versions of another batch, which may be older than those that are known.
+func (v *versionOffsets) merge(other versionOffsets) {
+	if v.usable.before(other.usable) {
+		v.usable = other.usable
+	}
+	if v.unusable.before(other.unusable) {
+		v.unusable = other.unusable
+	}
+}
+
+// superseded reports whether the newest version could not be decoded.
+func (v *versionOffsets) superseded() bool {
+	return v.usable.before(v.unusable)
+}
+
 // proof says when, and by what kind of read, a configuration was shown to be the newest.
 type proof struct {
 	asOf   time.Duration
@@ -73,6 +126,13 @@
 	return age
 }
 
+// configurationReadAge returns how long ago the topic of the configuration was known to be read to
+// its end.
+func (f *Front) configurationReadAge() time.Duration {
+	age, _ := f.configuration.Load().read.Age(f.now())
+	return age
+}
+
 // configurationOutOfDate reports whether a newer version may have come into force elsewhere.
 func (f *Front) configurationOutOfDate(state *configurationState) bool {
 	age, known := state.freshness.Age(f.now())
@@ -94,7 +154,7 @@
 	}
 	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key)
 	allowed := refusal == routing.Allowed
-	if d.front.configurationOutOfDate(state) && !(allowed && state.storeOut) {
+	if d.front.configurationOutOfDate(state) && !(allowed && state.usedWhenOld()) {
 		return admission, refusal, reasonConfigurationOld
 	}
 	if !(allowed && admission.Route.Public) && !d.front.keysTrusted(state) {
@@ -155,9 +215,21 @@
 	c.publish()
 }
 
+// observeConfigurations records the versions in a batch of the configuration's topic.
+func (c *control) observeConfigurations(versions versionOffsets) {
+	c.configurationOffsets.merge(versions)
+	c.configuration.superseded = c.configurationOffsets.superseded()
+}
+
 // confirmConfiguration records a proof that the newest version was known, and logs where proofs
 // come from when that changes.
 func (c *control) confirmConfiguration(p proof) {
+	c.configuration.read.Confirm(p.asOf)
+	if c.configuration.superseded {
+		c.configurationSource.Confirm(p.asOf)
+		c.assessConfiguration(c.front.now())
+		return
+	}
 	if known := c.configuration.proof; p.asOf > known.asOf || known.source == "" {
 		if p.source != known.source {
 			c.front.log.Info().Str("source", p.source).Str("before", known.source).Str("kind", p.kind).Int64("next", p.next).
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -47,6 +47,7 @@
 	budgets              map[string]*retry.Budget // by service
 	rng                  *rand.Rand
 	configuration        configurationState
+	configurationOffsets versionOffsets               // of the versions that were read
 	configurationSource  *staleness.Monitor           // of the configuration
 	configurationVerdict staleness.Verdict            // as last logged
 	undecided            map[uint64]chan<- decision   // where queued requests wait, by request ID
@@ -371,7 +372,8 @@
 
 // tableMessage delivers a version of the configuration.
 type tableMessage struct {
-	table *routing.Table
+	table    *routing.Table
+	versions versionOffsets // of the batch
 	// proof shows that it was the newest version, unless partial: then a newer one existed.
 	proof   proof
 	partial bool
@@ -382,6 +384,7 @@
 }
 
 func (m tableMessage) apply(c *control) {
+	c.observeConfigurations(m.versions)
 	known := c.configuration.table
 	if known == nil || m.table.Version > known.Version {
 		c.configuration.table = m.table
@@ -394,6 +397,14 @@
 	c.publish()
 }
 
+// tableUnusableMessage reports that no version in a batch could be decoded.
+type tableUnusableMessage struct{ versions versionOffsets }
+
+func (m tableUnusableMessage) apply(c *control) {
+	c.observeConfigurations(m.versions)
+	c.publish()
+}
+
 // tableCurrentMessage reports that no newer version of the configuration existed.
 type tableCurrentMessage struct{ proof proof }
 
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -154,6 +154,7 @@
 // goroutine. It returns false if there is none.
 func (f *Front) applyConfiguration(got fetchResult) bool {
 	var newest *routing.Table
+	var versions versionOffsets
 	begun := f.now()
 	size := 0
 	for _, r := range got.Records {
@@ -161,6 +162,7 @@
 		if errors.Is(err, ErrForeignRow) {
 			continue
 		}
+		versions.add(offset{number: r.Offset, era: got.Era}, err == nil)
 		if err != nil {
 			f.log.Error().Int64("offset", r.Offset).Err(err).Msg("configuration_unusable")
 			f.metrics.unusableConfigurations.Add(f.baseContext, 1)
@@ -172,9 +174,12 @@
 		}
 	}
 	if newest == nil {
+		if versions.superseded() {
+			f.send(tableUnusableMessage{versions: versions})
+		}
 		return false
 	}
-	f.send(tableMessage{table: newest, proof: newProof(got), partial: got.Partial(), bytes: size, decodeTime: f.now() - begun})
+	f.send(tableMessage{table: newest, versions: versions, proof: newProof(got), partial: got.Partial(), bytes: size, decodeTime: f.now() - begun})
 	return true
 }
 
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -36,7 +36,7 @@
 		return "stopping"
 	case state.table == nil:
 		return "no configuration known"
-	case f.configurationOutOfDate(state) && !state.storeOut:
+	case f.configurationOutOfDate(state) && !state.usedWhenOld():
 		return reasonConfigurationOld
 	case !f.keysTrusted(state):
 		return "configuration not known to be the newest"
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -245,7 +245,7 @@
 	case TopicEndpoints:
 		return f.refreshAge(topic) - f.listAge()
 	case TopicConfiguration:
-		return f.refreshAge(topic) - f.configurationAge()
+		return f.refreshAge(topic) - f.configurationReadAge()
 	}
 	return relayWait + relayReadTimeout
 }
