front: a reply that no front can have given is not a proof

A front took any reply with status 200 at a parent's address for one of that front: an answer without content proved that the configuration was the newest as of the send of the read, and moved the offset back to 0; an age below 0, or a call said to be held for longer than it took, proved a time to come, so that an older configuration could deny requests for as long as that. Addresses of instances that are gone are used again by others.

Replies are refused if their times lie out of range, if they pass no offset that was asked for, or if they hold changes for a reader that has nothing. A call that was held longer than it took by the rate of two clocks counts as held to its end.

Not seen in a deployment: the other program has to speak HTTP/2.

--- a/daemon/front/proof_test.go
+++ b/daemon/front/proof_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"primrosespoke.dev/coord/mirror"
+	"primrosespoke.dev/daemon/peer/node/nodepb"
 )
 
 // lateStore answers each read with a batch that was complete when the read came, and that arrives
@@ -56,3 +62,45 @@
 		})
 	}
 }
+
+// The address of a front that is gone may be another program's by now. What answers there proves
+// nothing unless it can be the reply of a front.
+func TestAReplyThatNoFrontCanHaveGivenProvesNothing(t *testing.T) {
+	const second = int64(time.Second / time.Microsecond)
+	for name, c := range map[string]struct {
+		reply  *nodepb.TopicReply
+		from   offset
+		accept bool
+	}{
+		"changes":                            {reply: &nodepb.TopicReply{Next: 7, AgeUs: 1000, HeldUs: 1}, from: offset{number: 5}, accept: true},
+		"nothing new":                        {reply: &nodepb.TopicReply{Next: 5, AgeUs: 1000, HeldUs: 1}, from: offset{number: 5}, accept: true},
+		"the whole topic":                    {reply: &nodepb.TopicReply{Whole: true, Next: 5, AgeUs: 1000}, from: offset{number: -1}, accept: true},
+		"no content":                         {reply: &nodepb.TopicReply{}, from: offset{number: 5}},
+		"no content, all asked for":          {reply: &nodepb.TopicReply{}, from: offset{number: -1}},
+		"an age below 0":                     {reply: &nodepb.TopicReply{Next: 5, AgeUs: -second}, from: offset{number: 5}},
+		"an age beyond the type":             {reply: &nodepb.TopicReply{Next: 5, AgeUs: math.MaxInt64 - 7}, from: offset{number: 5}},
+		"held below 0":                       {reply: &nodepb.TopicReply{Next: 5, HeldUs: math.MinInt64 + 7}, from: offset{number: 5}},
+		"held for longer than the call took": {reply: &nodepb.TopicReply{Next: 5, HeldUs: second}, from: offset{number: 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				data, err := proto.Marshal(c.reply)
+				g.Expect(err).NotTo(HaveOccurred())
+				_, _ = w.Write(data)
+			}))
+			server.Config.Protocols = new(http.Protocols)
+			server.Config.Protocols.SetUnencryptedHTTP2(true)
+			server.Start()
+			defer server.Close()
+			f := newProofFront(t, func(*Config) {})
+			got, reason := f.fetchRelayed(context.Background(), strings.TrimPrefix(server.URL, "http://"), TopicConfiguration, c.from, 0, time.Second)
+			if c.accept {
+				g.Expect(reason).To(BeEmpty())
+			} else {
+				g.Expect(reason).NotTo(BeEmpty(), "taken as proof for %v", got.asOf)
+			}
+			g.Expect(got.asOf).To(BeNumerically("<=", f.now()))
+		})
+	}
+}
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -376,6 +376,22 @@
 	return f.refreshAge(topic)
 }
 
+// relayClockSlack is how much longer another front may say that it held a call than the call took,
+// since clocks of two machines run at slightly different rates.
+const relayClockSlack = 5 * time.Millisecond
+
+// checkReply returns why a reply to a read from an offset can't be one of a front; empty = it can.
+// Another program may have the address of a front that is gone.
+func checkReply(reply *nodepb.TopicReply, from offset, took time.Duration) string {
+	switch {
+	case reply.AgeUs < 0 || reply.HeldUs < 0 || reply.HeldUs > (took+relayClockSlack).Microseconds():
+		return "times out of range"
+	case !reply.Whole && (from.number < 0 || reply.Next < from.number) || reply.Next < 0:
+		return "offset out of range"
+	}
+	return ""
+}
+
 // fetchRelayed reads a topic from another front, which waits for a change for the time wait.
 // If the answer can't be used or does not come in time, it returns the reason.
 func (f *Front) fetchRelayed(ctx context.Context, parent string, topic Topic, from offset, wait, timeout time.Duration) (fetchResult, string) {
@@ -393,12 +409,19 @@
 	case reply.Era < from.era:
 		return fetchResult{}, "not read there since the store came back older"
 	}
+	took := f.now() - sentAt
+	if reason := checkReply(reply, from, took); reason != "" {
+		return fetchResult{}, reason
+	}
+	if reply.AgeUs > f.maxRelayedAge(topic).Microseconds() {
+		return fetchResult{}, "too old"
+	}
 	// The clocks of two fronts are unrelated, so the reply's age is counted from the earliest
 	// moment at which the other front can have answered: the call's start plus the time for
 	// which it held the call.
-	answeredAt := sentAt + time.Duration(reply.HeldUs)*time.Microsecond
+	answeredAt := sentAt + min(time.Duration(reply.HeldUs)*time.Microsecond, took)
 	got := fetchResult{
-		full: reply.Whole, relayed: true, source: parent, took: f.now() - sentAt, asOf: answeredAt - time.Duration(reply.AgeUs)*time.Microsecond,
+		full: reply.Whole, relayed: true, source: parent, took: took, asOf: answeredAt - time.Duration(reply.AgeUs)*time.Microsecond,
 	}
 	if f.now()-got.asOf > f.maxRelayedAge(topic) {
 		return fetchResult{}, "too old"
