front: a compressed record is kept for its era only

Callers got 404 for routes that had been added, and would have got 401 for keys, from all fronts that read from other fronts, for as long as the version at that offset was the newest. The store had come back from an older copy.

Cause: a front that others read from kept the compressed value of a large record (4 KiB or more) by its key and offset, and a store that came back older gives that offset to another record. Its readers got the record of before, in place of one that was right in the front's own copy, dropped it as not newer, and took the proof that came with it: their old version counted as the newest.

The value is kept by era and offset now, so no record stands for another.

--- a/daemon/front/proof_test.go
+++ b/daemon/front/proof_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"net/http"
@@ -104,3 +105,19 @@
 		})
 	}
 }
+
+// A store that came back older gives the offset of a record to another one.
+func TestARecordOfAnotherEraIsNotSentAsTheOneBefore(t *testing.T) {
+	g := NewWithT(t)
+	topic := newRelayedTopics()[TopicConfiguration]
+	for era, version := range []string{"before", "after"} {
+		value := []byte(strings.Repeat(version, minDeflatedBytes))
+		batch := mirror.Batch{Records: []mirror.Record{{Offset: 4, Key: "config", Value: value}}, Next: 5, End: 5, Era: int64(era)}
+		topic.update(-1, fetchResult{Batch: batch, full: true, asOf: time.Duration(era) * time.Second})
+		reply := topic.reply(int64(era), -1, time.Minute, true)
+		g.Expect(reply.Records).To(HaveLen(1))
+		sent, err := inflate(reply.Records[0])
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(bytes.Equal(sent, value)).To(BeTrue(), "the record %s the store came back", version)
+	}
+}
--- a/daemon/front/relay_server.go
+++ b/daemon/front/relay_server.go
@@ -136,14 +136,15 @@
 
 // deflatedValue is the compressed value of the record at an offset.
 type deflatedValue struct {
-	offset int64
+	offset offset
 	data   []byte
 }
 
 // deflate returns the compressed value of a record, which is kept for the next reader. The
 // caller holds mu.
 func (t *relayedTopic) deflate(r mirror.Record) []byte {
-	if known, ok := t.deflated[r.Key]; ok && known.offset == r.Offset {
+	at := offset{number: r.Offset, era: t.mirror.Era()}
+	if known, ok := t.deflated[r.Key]; ok && known.offset == at {
 		return known.data
 	}
 	var b bytes.Buffer
@@ -153,7 +154,7 @@
 	}
 	_, _ = w.Write(r.Value) // a bytes.Buffer does not fail
 	_ = w.Close()
-	t.deflated[r.Key] = deflatedValue{offset: r.Offset, data: b.Bytes()}
+	t.deflated[r.Key] = deflatedValue{offset: at, data: b.Bytes()}
 	return b.Bytes()
 }
 
