front: proofs hold in a model of store and fronts

What a read shows is split from how it is sent, so that the code that takes it in runs on a model's clocks: newStoredResult, newRelayedResult, advance, takeConfiguration, setReplyTimes. No decision changes.

--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -43,19 +43,26 @@
 		return fetchResult{}, false
 	}
 	w.succeeded()
+	return got, w.advance(got)
+}
+
+// advance moves on to the end of what a read from w.next returned. It returns false if that does
+// not follow what is known.
+func (w *follower) advance(got fetchResult) bool {
+	from := w.next
 	if got.Era != from.era && from.number >= 0 && !got.full {
 		// The records that were asked for are not those that follow the known ones.
 		w.front.log.Warn().Str("topic", topicNames[w.topic]).Int64("from", from.number).Int64("era", got.Era).Int64("era_before", from.era).
 			Msg("store_came_back_older")
 		w.next = offset{number: -1, era: got.Era}
-		return fetchResult{}, false
+		return false
 	}
 	w.next = offset{number: got.Next, era: got.Era}
 	if got.Partial() {
 		w.front.log.Info().Str("topic", topicNames[w.topic]).Int64("next", got.Next).Int64("end", got.End).Msg("topic_read_in_part")
 	}
 	w.front.topics[w.topic].update(from.number, got)
-	return got, true
+	return true
 }
 
 // failed records a failed read and waits before the next one.
@@ -130,19 +137,21 @@
 		if wait = f.config.Timing.ConfigurationWait; f.now()-got.asOf > f.configurationRefreshAge() {
 			wait = 0
 		}
-		if got.Partial() {
-			w.next.number = -1 // the versions before the newest one need not be read
-		}
-		if f.applyConfiguration(got) || got.Partial() {
-			continue
-		}
 		if got.full && len(got.Records) == 0 {
 			f.log.Warn().Msg("configuration_absent")
 			sleep(ctx, f.config.Timing.StoreRetry)
 		}
-		if f.hasTable() {
-			f.send(tableCurrentMessage{proof: newProof(got)})
-		}
+		f.takeConfiguration(w, got)
+	}
+}
+
+// takeConfiguration passes on what a read of the configuration shows.
+func (f *Front) takeConfiguration(w *follower, got fetchResult) {
+	if got.Partial() {
+		w.next.number = -1 // the versions before the newest one need not be read
+	}
+	if !f.applyConfiguration(got) && !got.Partial() && f.hasTable() {
+		f.send(tableCurrentMessage{proof: newProof(got)})
 	}
 }
 
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -299,13 +299,19 @@
 		return fetchResult{}, err
 	}
 	f.metrics.storeCalls.Add(f.baseContext, 1)
-	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt, source: sourceStore, took: f.now() - sentAt}
+	return newStoredResult(topic, batch, from, sentAt, wait, f.now()), nil
+}
+
+// newStoredResult returns what a read of the store from an offset showed that was sent at a time,
+// to wait for a change, and whose answer has arrived by now.
+func newStoredResult(topic Topic, batch mirror.Batch, from int64, sentAt, wait, now time.Duration) fetchResult {
+	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt, source: sourceStore, took: now - sentAt}
 	// An answer without records after the whole wait shows that nothing had changed up to the end
 	// of the wait. One that passes records without a key was given when these came.
-	if from >= 0 && topic != TopicEndpoints && batch.Next == from && !batch.Partial() && f.now() >= sentAt+wait {
+	if from >= 0 && topic != TopicEndpoints && batch.Next == from && !batch.Partial() && now >= sentAt+wait {
 		got.asOf, got.waited = sentAt+wait, true
 	}
-	return got, nil
+	return got
 }
 
 // readHedged reads the list of endpoints or the configuration from the store. If no byte of an
@@ -401,15 +407,22 @@
 	reply, err := f.relay.client.Relay(parent).Read(ctx, &nodepb.TopicRequest{
 		Topic: uint32(topic), From: from.number, Era: from.era, WaitUs: wait.Microseconds(), Deflate: true,
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		return fetchResult{}, err.Error()
+	}
+	return f.newRelayedResult(topic, reply, from, parent, sentAt, f.now())
+}
+
+// newRelayedResult returns what a read of another front showed that was sent at a time and has
+// been answered by now, or the reason why it can't be used.
+func (f *Front) newRelayedResult(topic Topic, reply *nodepb.TopicReply, from offset, parent string, sentAt, now time.Duration) (fetchResult, string) {
+	switch {
 	case reply.Unknown:
 		return fetchResult{}, "not known there"
 	case reply.Era < from.era:
 		return fetchResult{}, "not read there since the store came back older"
 	}
-	took := f.now() - sentAt
+	took := now - sentAt
 	if reason := checkReply(reply, from, took); reason != "" {
 		return fetchResult{}, reason
 	}
@@ -423,7 +436,7 @@
 	got := fetchResult{
 		full: reply.Whole, relayed: true, source: parent, took: took, asOf: answeredAt - time.Duration(reply.AgeUs)*time.Microsecond,
 	}
-	if f.now()-got.asOf > f.maxRelayedAge(topic) {
+	if now-got.asOf > f.maxRelayedAge(topic) {
 		return fetchResult{}, "too old"
 	}
 	got.Next, got.End, got.Era = reply.Next, reply.Next, reply.Era
--- a/daemon/front/relay_server.go
+++ b/daemon/front/relay_server.go
@@ -245,8 +245,13 @@
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
-	answered := s.front.now()
+	setReplyTimes(reply, begun, built, s.front.now())
+	return reply, nil
+}
+
+// setReplyTimes completes the times of a reply: when the call began, the time that the reply was
+// built for, and the time at which it is sent.
+func setReplyTimes(reply *nodepb.TopicReply, begun, built, answered time.Duration) {
 	reply.AgeUs += (answered - built).Microseconds()
 	reply.HeldUs = (answered - begun).Microseconds()
-	return reply, nil
 }
