front: a key that moves to another account is not denied

Callers got 401 "key of another account" if a newer version of the configuration gave their key to another client account (or renamed the account, dropped all accounts, or made the route public) while the request waited for a place or between two of its attempts. No version in force denies such a request. One whose route became public was sent under no account while its old one kept the charge; one whose route stopped being public was sent uncharged.

The check before a send compared the account with the one that was charged and denied the request if they differed. Now it goes on under the account that holds the key: the old charge is returned if nothing was sent under it, the new account is charged, and the request is placed again, since its priority and the content ID depend on the account. Where the new cap is used up it ends with 429 if it has not run, else with the endpoint's own failure or 502. A stream that has begun is cut where it breaks off, as before: its events are all of one account.

The charge is kept with the name of its account, so that a refund no longer reads the account of the current admission, which may be none.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -266,6 +266,14 @@
 	return Admission{Route: route, Account: account, Version: t.Version}, Allowed
 }
 
+// AccountName returns the name of the request's account; empty = it has none.
+func (a Admission) AccountName() string {
+	if a.Account == nil {
+		return ""
+	}
+	return a.Account.Name
+}
+
 // AccountPriority returns the rank of the request's account, which is compared before its
 // route's; 0 where there is no account or it has no rank.
 func (a Admission) AccountPriority() int {
--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -141,12 +141,23 @@
 	return d.refuse(http.StatusServiceUnavailable, reason, after)
 }
 
+// refuseOrGiveUp ends a request that this front can't check or charge now, which may have run.
+func (d *delivery) refuseOrGiveUp(reason string, after time.Duration) outcome {
+	if d.runs > 0 {
+		return d.giveUp(reason)
+	}
+	return d.refuseUnavailable(reason, after)
+}
+
+// reasonOverCap is why a request is not sent under an account that has used up its cap.
+const reasonOverCap = "usage cap"
+
 // refuseOverCap refuses a request that exceeds its account's usage cap.
 func (d *delivery) refuseOverCap(cost float64, wait time.Duration) outcome {
 	d.front.log.Info().Str("request_id", d.call.ID).Str("account", d.admission.Account.Name).
-		Str("reason", "usage cap").Float64("cost", cost).Int64("fits_after_ms", wait.Milliseconds()).
+		Str("reason", reasonOverCap).Float64("cost", cost).Int64("fits_after_ms", wait.Milliseconds()).
 		Int64("version", d.admission.Version).Msg("request_refused")
-	return d.refuse(http.StatusTooManyRequests, "usage cap", wait)
+	return d.refuse(http.StatusTooManyRequests, reasonOverCap, wait)
 }
 
 // refuseByScheduler answers a request that the scheduler refused.
@@ -214,7 +225,7 @@
 		Int("prompt_tokens", d.call.PromptTokens).Int("output_hint", d.call.OutputHint).
 		Int64("before_ms", d.priorWait.Milliseconds()).Int64("queued_ms", d.queuedTime.Milliseconds()).Int64("total_ms", spent.Milliseconds())
 	if d.admission.Account != nil {
-		e = e.Str("account", d.admission.Account.Name).Float64("charged", d.charged)
+		e = e.Str("account", d.admission.Account.Name).Float64("charged", d.charged.cost)
 	}
 	if d.firstByteAt > 0 {
 		first := d.firstByteAt - d.arrived
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -160,30 +160,31 @@
 // is sent: it may have waited in the queue, and the process may have been suspended.
 func (d *delivery) stillAllowed() (attemptResult, bool) {
 	admission, refusal, reason := d.awaitCheck()
-	same := reason == "" && refusal == routing.Allowed && d.sameAccount(admission)
+	allowed := reason == "" && refusal == routing.Allowed
+	// A stream that has begun is not moved, since its events are all of one account.
+	sameAccount := allowed && admission.AccountName() == d.admission.AccountName()
 	switch {
-	case same && (d.streamStarted || admission.Version == d.admission.Version):
+	case sameAccount && (d.streamStarted || admission.Version == d.admission.Version):
 		return attemptResult{}, true
 	case d.streamStarted:
 		return finishedWith(outcomeInterrupted), false
-	case reason != "" && d.runs == 0:
-		return finishedWith(d.refuseUnavailable(reason, staleRetryAfter)), false
 	case reason != "":
-		return finishedWith(d.giveUp(reason)), false
+		return finishedWith(d.refuseOrGiveUp(reason, staleRetryAfter)), false
 	case refusal == routing.NoRoute:
 		return finishedWith(d.deny(http.StatusNotFound, "no such route any more")), false
 	case refusal == routing.UnknownKey:
 		return finishedWith(d.deny(http.StatusUnauthorized, "key removed")), false
-	case !same:
-		return finishedWith(d.deny(http.StatusUnauthorized, "key of another account")), false
 	}
-	before := d.admission.Version
+	before := d.admission
 	d.adopt(admission)
 	if d.runs > 0 && d.runs >= d.maxRuns {
-		d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before).Int64("version", admission.Version).
+		d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before.Version).Int64("version", admission.Version).
 			Str("route", admission.Route.Name).Int("runs", d.runs).Int("max_runs", d.maxRuns).Msg("repeat_forbidden")
 		return finishedWith(d.giveUp(reasonRepeatForbidden)), false
 	}
+	if !sameAccount {
+		return d.changeAccount(before), false
+	}
 	if !admission.Route.Allows(d.service) {
 		d.service = admission.Route.Pick(rand.Float64())
 		return attemptResult{kind: notSent, reason: "route moved"}, false
@@ -191,23 +192,29 @@
 	return attemptResult{}, true
 }
 
-// sameAccount reports whether a later admission is for the account that was charged.
-func (d *delivery) sameAccount(admission routing.Admission) bool {
-	if d.admission.Account == nil || admission.Account == nil {
-		return d.admission.Account == nil || admission.Route.Public
-	}
-	return admission.Account.Name == d.admission.Account.Name
+// changeAccount has the request go on under the account that holds its key by now. It is placed
+// again, since its priority and what it is accused as depend on the account.
+func (d *delivery) changeAccount(before routing.Admission) attemptResult {
+	d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before.Version).Int64("version", d.admission.Version).
+		Str("account_before", before.AccountName()).Str("account", d.admission.AccountName()).Int("sends", d.sends).Int("runs", d.runs).
+		Msg("request_account_changed")
+	d.refund()
+	if done := d.charge(); done != "" {
+		return finishedWith(done)
+	}
+	d.identify()
+	if !d.admission.Route.Allows(d.service) {
+		d.service = d.admission.Route.Pick(rand.Float64())
+	}
+	return attemptResult{kind: notSent, reason: "key of another account by now"}
 }
 
 // backendRequest builds the request to the placement's endpoint.
 func (d *delivery) backendRequest(p scheduler.Placement) *backend.Request {
-	a := Attempt{Endpoint: p.Endpoint, LastEvent: d.call.LastEvent}
+	a := Attempt{Endpoint: p.Endpoint, Account: d.admission.AccountName(), LastEvent: d.call.LastEvent}
 	if d.call.Deadline > 0 {
 		a.TimeLeft = max(d.deadline-d.front.now(), time.Millisecond)
 	}
-	if d.admission.Account != nil {
-		a.Account = d.admission.Account.Name
-	}
 	if d.lastEvent != "" {
 		a.LastEvent = d.lastEvent
 	}
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -46,7 +46,7 @@
 	placements          int             // how often the request was queued for a placement
 	triedEndpoints      map[string]bool // endpoints that it was placed at, which are avoided
 	endpointStatus      int             // of the endpoint's answer that the caller was sent whole; 0 = none
-	charged             float64         // usage charged to the account
+	charged             charge          // to the account
 	answered            bool            // the headers of an answer have been prepared
 	streamStarted       bool            // the status and headers of a stream have been sent to the caller
 	lastEvent           string          // ID of the last event that the caller was sent
@@ -122,9 +122,7 @@
 	if d.beganStream {
 		d.front.send(streamEndedMessage{key: d.originKey()})
 	}
-	if d.sends == 0 && d.charged > 0 {
-		d.front.send(refundMessage{account: d.admission.Account.Name, cost: d.charged})
-	}
+	d.refund()
 	return done
 }
 
@@ -163,15 +161,16 @@
 	}
 	d.adopt(admission)
 	d.service = admission.Route.Pick(rand.Float64())
-	account := ""
-	if admission.Account != nil {
-		account = admission.Account.Name
-	}
-	d.content = contentID(d.request, account, d.body)
-	d.subjects = subjectsOf(d.call.PromptParts, d.content)
+	d.identify()
 	return ""
 }
 
+// identify works out what the request is accused as if an endpoint ends under it.
+func (d *delivery) identify() {
+	d.content = contentID(d.request, d.admission.AccountName(), d.body)
+	d.subjects = subjectsOf(d.call.PromptParts, d.content)
+}
+
 // adopt takes over the admission by a version of the configuration. How often the request may run
 // is limited by each version that it was checked against: what was accepted as a request that runs
 // once stays one, and what must run once by now is not repeated.
@@ -205,9 +204,24 @@
 	return limit - (d.front.now() - d.arrived)
 }
 
+// charge is the usage that was charged for a request.
+type charge struct {
+	account string
+	cost    float64 // 0 = nothing was charged
+	sends   int     // of the request before
+}
+
+// refund cancels the charge unless the request was sent under it.
+func (d *delivery) refund() {
+	if d.charged.cost > 0 && d.sends == d.charged.sends {
+		d.front.send(refundMessage{account: d.charged.account, cost: d.charged.cost})
+	}
+}
+
 // charge counts the request against its account's usage cap, and refuses it if it
 // exceeds the cap.
 func (d *delivery) charge() outcome {
+	d.charged = charge{}
 	account := d.admission.Account
 	if account == nil || account.Rate <= 0 {
 		return ""
@@ -220,19 +234,22 @@
 		}
 	}
 	if !d.front.awaitMembers(d.requestContext) {
-		return d.refuseUnavailable("other entries unknown", staleRetryAfter)
+		return d.refuseOrGiveUp("other entries unknown", staleRetryAfter)
 	}
 	reply := make(chan chargeReply, 1)
 	d.front.send(chargeMessage{account: account.Name, cost: cost, rank: d.admission.Route.Priority, reply: reply})
 	select {
 	case r := <-reply:
-		if !r.allowed {
+		switch {
+		case !r.allowed && d.runs > 0:
+			return d.giveUp(reasonOverCap)
+		case !r.allowed:
 			return d.refuseOverCap(cost, r.wait)
 		}
-		d.charged = cost
+		d.charged = charge{account: account.Name, cost: cost, sends: d.sends}
 		return ""
 	case <-d.front.stopped:
-		return d.refuseUnavailable("stopping", minRetryAfter)
+		return d.refuseOrGiveUp("stopping", minRetryAfter)
 	}
 }
 
--- a/daemon/front/origin.go
+++ b/daemon/front/origin.go
@@ -70,7 +70,7 @@
 // store. It also returns who knew it.
 func (d *delivery) lookUpOrigin() (origin.Origin, string) {
 	if d.call.Resumes != "" {
-		key := origin.KeyOf(d.accountName(), d.call.Resumes)
+		key := origin.KeyOf(d.admission.AccountName(), d.call.Resumes)
 		reply := make(chan originKnown, 1)
 		d.front.send(originMessage{key: key, reply: reply})
 		select {
@@ -93,7 +93,7 @@
 		return origin.Origin{}, "unknown"
 	}
 	if d.call.Resumes != "" {
-		if o, ok := d.knownOrigin(origin.KeyOf(d.accountName(), d.call.Resumes)); ok {
+		if o, ok := d.knownOrigin(origin.KeyOf(d.admission.AccountName(), d.call.Resumes)); ok {
 			return o, "store"
 		}
 	}
@@ -146,13 +146,6 @@
 	}
 }
 
-func (d *delivery) accountName() string {
-	if d.admission.Account == nil {
-		return ""
-	}
-	return d.admission.Account.Name
-}
-
 // askOrigin asks other entries for the origin of a stream. The first that knows it decides.
 func (f *Front) askOrigin(ctx context.Context, key origin.Key, addresses []string) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originAskTimeout)
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -191,7 +191,7 @@
 
 // originKey returns the key under which a stream that begins with this attempt is known.
 func (d *delivery) originKey() origin.Key {
-	return origin.KeyOf(d.accountName(), d.call.ID)
+	return origin.KeyOf(d.admission.AccountName(), d.call.ID)
 }
 
 // recordGap updates the longest time between two events of the stream.
