front: a request that ran is not answered as denied

A caller whose request had run once (an endpoint's own 500, or a broken connection) got 404 or 401 with "outcome":"not_run" if a newer version of the configuration dropped its route or key before the second send. The answer said that nothing was run, and where the endpoint had answered it took the place of that answer, which was ready.

The check before a send denied without regard to earlier runs. Now a request that may have run ends as any other that may not be sent again: with the endpoint's failure that was held back, or with 502. One that has not run is denied as before, by the newer version.

Evidence: TestRequestThatRanIsNotDeniedAfterwards failed in 4 of 4 cases before (404 and 401, "not_run", instead of 500 and 502); with -race -count=2 it passes. TestRequestThatHasNotRunIsDeniedByANewerVersion passed before and after.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -113,6 +113,15 @@
 	return outcomeDenied
 }
 
+// denyOrGiveUp ends a request that a newer version does not allow. A denial says that it was not
+// run, so one that may have run gets what came of that.
+func (d *delivery) denyOrGiveUp(status int, reason string) outcome {
+	if d.runs > 0 {
+		return d.giveUp(reason)
+	}
+	return d.deny(status, reason)
+}
+
 func (d *delivery) version() int64 {
 	if t := d.front.configuration.Load().table; t != nil {
 		return t.Version
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -171,9 +171,9 @@
 	case reason != "":
 		return finishedWith(d.refuseOrGiveUp(reason, staleRetryAfter)), false
 	case refusal == routing.NoRoute:
-		return finishedWith(d.deny(http.StatusNotFound, "no such route any more")), false
+		return finishedWith(d.denyOrGiveUp(http.StatusNotFound, "no such route any more")), false
 	case refusal == routing.UnknownKey:
-		return finishedWith(d.deny(http.StatusUnauthorized, "key removed")), false
+		return finishedWith(d.denyOrGiveUp(http.StatusUnauthorized, "key removed")), false
 	}
 	before := d.admission
 	d.adopt(admission)
