front: a denial or redirect without a seal is no answer

Another program at the address of an endpoint that is gone, or a faulty endpoint, could answer a request with 301, 400, 401, 403, 404 or 405 of its own, and the caller got that, without a request ID or a seal. It looks like a denial by this front, of a request that the configuration allows.

receive asked for a seal on successes only. Now an answer below 500 that has none is not passed on: the request may have run, so it is sent again where its route allows that, and else answered with 502. Errors from 500 on promise nothing and are passed on as before.

Both pass with -race, as do the tests of refusals, broken and invalid answers, limits and leaving.

--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"math/rand"
 	"net/http"
@@ -261,8 +262,9 @@
 	}
 	d.runs++
 	success := resp.StatusCode < http.StatusMultipleChoices
-	if head.Encoded || success && !head.Sealed {
-		return attemptResult{kind: mayHaveRun, reason: "answer without seal"}, scheduler.Failed
+	// Without a seal a denial or a redirect may come from another program at the endpoint's address.
+	if head.Encoded || resp.StatusCode < http.StatusInternalServerError && !head.Sealed {
+		return attemptResult{kind: mayHaveRun, reason: fmt.Sprintf("answer without seal, status %d", resp.StatusCode)}, scheduler.Failed
 	}
 	if success && d.admission.Route.Kind == routing.Streaming {
 		if d.streamStarted && !sameMediaType(d.writer.Header(), resp.Header) {
