routing: a host with a final dot or an empty port is the same host

Callers got 404 "no such route" for a Host of "desk.example." or "desk.example:", which name the host of a route (RFC 3986, 3.2.2 and 3.2.3). A host that is an IPv6 address was cut at its first colon and never matched.

Match cut a port only where one was given, and compared the rest as it was. Now the port, even an empty one, and one final dot are left out, and the colons of an address in brackets are no port.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -104,7 +104,7 @@
 	Limits   Limits
 	accounts []Account
 	services map[string]Service // by name
-	byHost   map[string][]Route // by host in lower case, the longest prefix first
+	byHost   map[string][]Route // by host as hostName returns it, the longest prefix first
 	byKey    map[string]int     // index in accounts by key
 }
 
@@ -118,7 +118,7 @@
 		t.services[s.Name] = s
 	}
 	for _, r := range routes {
-		host := strings.ToLower(r.Host)
+		host := strings.ToLower(strings.TrimSuffix(r.Host, "."))
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, list := range t.byHost {
@@ -132,13 +132,19 @@
 	return t
 }
 
+// hostName returns the name in a Host header without its port, in lower case and without the final
+// dot of an absolute name.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
 // Match returns the route of a host with the longest prefix of the path, or nil. A port
 // in the host is ignored.
 func (t *Table) Match(host, path string) *Route {
-	if name, port, ok := strings.Cut(host, ":"); ok && port != "" {
-		host = name
-	}
-	list := t.byHost[strings.ToLower(host)]
+	list := t.byHost[hostName(host)]
 	for i := range list {
 		if strings.HasPrefix(path, list[i].Prefix) {
 			return &list[i]
--- a/coord/routing/table_test.go
+++ b/coord/routing/table_test.go
@@ -30,6 +30,21 @@
 	g.Expect(table().Match("other.example", "/kits/3")).To(BeNil())
 }
 
+func TestHostIsTheSameWithAPortOrAFinalDot(t *testing.T) {
+	g := NewWithT(t)
+	tb := routing.NewTable(1, []routing.Route{{Name: "name", Host: "desk.example.", Prefix: "/"}, {Name: "address", Host: "[2001:DB8::1]", Prefix: "/"}}, nil, nil, routing.Limits{})
+	for host, name := range map[string]string{
+		"desk.example": "name", "Desk.example.": "name", "desk.example:": "name", "desk.example:80": "name", "desk.example.:80": "name",
+		"[2001:db8::1]": "address", "[2001:db8::1]:80": "address",
+	} {
+		g.Expect(tb.Match(host, "/")).NotTo(BeNil(), host)
+		g.Expect(tb.Match(host, "/").Name).To(Equal(name), host)
+	}
+	for _, host := range []string{"", ":80", ".", "desk.example..", "desk", "[2001:db8::2]:80"} {
+		g.Expect(tb.Match(host, "/")).To(BeNil(), host)
+	}
+}
+
 func TestAccountIsFoundByAnyOfItsKeys(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(table().Account("k2").Name).To(Equal("crew"))
