front: a body is not denied by the limit of an outdated configuration

A caller whose body is within the limit of the newest configuration got 413 from a front that had an older one, however long ago that had been known to be the newest, and clients don't retry after a 413. Routes and keys are denied only by a recent configuration; the check of the body looked at no age.

Now a body over the limit is answered with 413 only if the configuration is recent, and with 503 otherwise, or if the limit was raised while the body was read. The denial's log line names the version and its proof.

--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -102,8 +102,8 @@
 		return d.deny(http.StatusBadRequest, err.Error())
 	}
 	d.call = call
-	if status, reason := d.readBody(); status != 0 {
-		return d.deny(status, reason)
+	if done := d.readBody(); done != "" {
+		return done
 	}
 	if done := d.admit(); done != "" {
 		return done
@@ -128,24 +128,40 @@
 
 // readBody reads the whole body, since a request may be sent more than once and an
 // endpoint may answer before it has read everything.
-func (d *delivery) readBody() (status int, reason string) {
-	limit := d.front.config.MaxBodyBytes
-	if t := d.front.configuration.Load().table; t != nil && t.Limits.BodyBytes > 0 {
-		limit = t.Limits.BodyBytes
-	}
+func (d *delivery) readBody() outcome {
+	limit := d.front.maxBodyBytes(d.front.configuration.Load())
 	if d.request.ContentLength > limit {
-		return http.StatusRequestEntityTooLarge, "body too large"
+		return d.denyBody(limit)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(d.writer, d.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return http.StatusRequestEntityTooLarge, "body too large"
+		return d.denyBody(limit)
 	case err != nil:
-		return http.StatusBadRequest, "body unreadable"
+		return d.deny(http.StatusBadRequest, "body unreadable")
 	}
 	d.body = body
-	return 0, ""
+	return ""
+}
+
+// maxBodyBytes returns how long a body may be by a configuration.
+func (f *Front) maxBodyBytes(state *configurationState) int64 {
+	if t := state.table; t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
+	}
+	return f.config.MaxBodyBytes
+}
+
+// denyBody answers a request whose body is longer than a limit. A newer version may allow it if the
+// one in force is out of date, or if the limit was raised while the body was read.
+func (d *delivery) denyBody(limit int64) outcome {
+	state := d.front.configuration.Load()
+	if state.table != nil && (d.front.configurationOutOfDate(state) || d.front.maxBodyBytes(state) > limit) {
+		return d.refuseUnavailable(reasonConfigurationOld, staleRetryAfter)
+	}
+	d.checkedBy, d.checkedAt = state, d.front.now()
+	return d.deny(http.StatusRequestEntityTooLarge, "body too large")
 }
 
 // admit checks the request against the configuration and selects its service.
