front: the time in which a body came counts once

Callers whose body took more than half of their time limit to arrive were refused with 503 though time was left; others got less of it at endpoints than they had stated.

timeLeft is what is left at the moment, and was added to the time of arrival, so the time until then was taken off twice.

TestRequestWithASlowBodyKeepsItsTime (a body that takes 1.1 s of 2 s): before "Expected 503 to equal 200", now 200 and at most 0.9 s left at the endpoint.

--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -111,7 +111,7 @@
 	limit := d.timeLeft()
 	ctx, cancel := context.WithTimeoutCause(d.request.Context(), limit, errTimeout)
 	defer cancel()
-	d.requestContext, d.attemptContext, d.deadline = ctx, ctx, d.arrived+limit
+	d.requestContext, d.attemptContext, d.deadline = ctx, ctx, d.front.now()+limit
 	if done := d.findOrigin(); done != "" {
 		return done
 	}
