front: while it stops, a front takes only what it expects to end

Callers of a front that was stopped as planned, in calm, had requests taken and passed on late in the grace and then cut with no answer, among them bookings and streams that may not be repeated.

Cause: a stopping front took every request until its listener closed after 2.5 s, and later ones on connections that had been opened before and carried nothing yet (Shutdown counts those as active for 5 s) or whose body came slowly, whatever time was left. Requests that were queued then were sent late. At the end of the drain the process exited with what was in progress, so callers got neither an answer nor a refusal.

Now a request is sent only if its deadline or its route's timeout ends before the front, or if the work that is expected on its route fits in what is left: 1.25 times the longest of the newest 64 work times of the route where it may run once, of nine tenths of them where it may run again. Connection: close is decided when an answer begins, so answers to requests from before the signal have it too.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -58,6 +58,7 @@
 func (d *delivery) writeHead(header http.Header) {
 	d.answered = true
 	d.firstByteAt = d.front.now()
+	d.closeIfDraining()
 	own := d.writer.Header()
 	for name, values := range EndToEndHeaders(header) {
 		own[name] = values
@@ -81,6 +82,7 @@
 // problemAnswer sends an answer that the front itself produces.
 func (d *delivery) problemAnswer(status int, outcome, detail string) {
 	d.answered = true
+	d.closeIfDraining()
 	h := d.writer.Header()
 	h.Set("Content-Type", "application/problem+json")
 	if d.call.ID != "" {
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -65,7 +65,7 @@
 	if result.broken {
 		d.reportBreak(p)
 	}
-	done := doneMessage{id: d.id, outcome: outcome}
+	done := doneMessage{id: d.id, outcome: outcome, route: d.admission.Route.Name, worked: d.worked(result)}
 	if result.answered {
 		done.answered = d.subjects
 	}
@@ -99,6 +99,10 @@
 		d.front.metrics.placementVoid(reason)
 		return attemptResult{kind: notSent, reason: reason}, outcome
 	}
+	if done := d.checkSendEnd(); done != "" {
+		conn.Close()
+		return finishedWith(done), scheduler.Abandoned
+	}
 	// Last, since time passes before: nothing that is checked below may lapse until the send.
 	if result, ok := d.stillAllowed(); !ok {
 		conn.Close()
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -64,6 +64,7 @@
 	startedAt            time.Duration
 	lastExpiry           time.Duration            // when expired rows and members were last removed
 	caps                 map[string]allowance.Cap // by account
+	workTimes            map[string]*workTimes    // by route
 }
 
 func newControl(f *Front) *control {
@@ -94,6 +95,7 @@
 		saving:         originSaving{mixed: map[string]bool{}},
 		savedHistories: map[string]*savedHistory{},
 		undecided:      map[uint64]chan<- decision{},
+		workTimes:      map[string]*workTimes{},
 		cancelable:     map[uint64]cancelableAttempt{},
 		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
 	}
@@ -317,6 +319,8 @@
 type doneMessage struct {
 	id      uint64
 	outcome scheduler.Outcome
+	route   string
+	worked  time.Duration // see delivery.worked
 	// answered is what subjectsOf returned for the request if the answer was a whole success.
 	answered []quarantine.Subject
 }
@@ -324,6 +328,7 @@
 func (m doneMessage) apply(c *control) {
 	delete(c.cancelable, m.id)
 	c.scheduler.Done(c.front.now(), m.id, m.outcome)
+	c.recordWork(m.route, m.worked)
 	c.endSubjects(m.id, m.answered)
 }
 
@@ -434,6 +439,7 @@
 	c.caps = caps
 	c.limiter.SetCaps(c.front.now(), caps)
 	c.retainOrigins(t.EachRoute)
+	c.retainWorkTimes(t.EachRoute)
 }
 
 // logTable logs a version that was put into force, and how it came.
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -32,9 +32,6 @@
 	// idleTimeout is how long a caller's connection may be idle. Configurations state
 	// shorter times.
 	idleTimeout = 2 * time.Minute
-	// exitMargin is the part of Config.StopTimeout that remains, after the drain, for the
-	// process to exit.
-	exitMargin = 700 * time.Millisecond
 )
 
 // MetricsHandler serves the metrics page.
@@ -62,6 +59,10 @@
 	endpointView   atomic.Pointer[endpointView]                              // as last published by the control goroutine
 	limits         atomic.Pointer[limitView]                                 // as last published by the control goroutine; not changed
 	draining       atomic.Bool
+	drainBegun     chan struct{}           // closed when the drain begins
+	requestsEnd    atomic.Int64            // when the requests in progress end, of clock; set before draining
+	endContext     context.Context         // ends when the requests in progress must be answered
+	endRequests    context.CancelFunc      // ends endContext
 	inProgress     atomic.Int64            // number of callers' requests in progress
 	lastDeliveryID atomic.Uint64           // last value of delivery.id
 	topics         map[Topic]*relayedTopic // served to other fronts
@@ -82,11 +83,13 @@
 		return nil, err
 	}
 	base, cancelBase := context.WithCancel(context.Background())
+	endContext, endRequests := context.WithCancel(base)
 	f := &Front{
 		config: cfg, log: cfg.Log, incarnation: newIncarnation(), clock: boottime.New(),
 		pool: backend.NewPool(cfg.Backend), metrics: m,
 		inbox: make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
 		topics: newRelayedTopics(), relay: newRelayClient(), membersKnown: make(chan struct{}),
+		drainBegun: make(chan struct{}), endContext: endContext, endRequests: endRequests,
 		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
 	}
 	f.configuration.Store(&configurationState{})
@@ -222,19 +225,3 @@
 		ErrorLog:          nil,
 	}
 }
-
-// drain fails the readiness check, serves the requests that still arrive until the load
-// balancer notices, and waits for the requests in progress.
-func (f *Front) drain(callers *http.Server) {
-	f.draining.Store(true)
-	begun := time.Now()
-	end := begun.Add(f.config.StopTimeout - exitMargin)
-	f.log.Info().Int64("in_progress", f.inProgress.Load()).Dur("within_ms", time.Until(end)).Msg("front_stopping")
-	sleep(f.baseContext, min(f.config.Timing.DrainDelay, time.Until(end)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	// Shutdown closes the listener and idle connections, and waits for active ones.
-	if err := callers.Shutdown(ctx); err != nil {
-		f.log.Warn().Int64("in_progress", f.inProgress.Load()).Err(err).Msg("front_shutdown_incomplete")
-	}
-}
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -68,9 +68,6 @@
 func (f *Front) serveCaller(w http.ResponseWriter, r *http.Request) {
 	f.inProgress.Add(1)
 	defer f.inProgress.Add(-1)
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	d := &delivery{
 		front: f, writer: w, request: r, id: f.lastDeliveryID.Add(1), arrived: f.now(), requestContext: r.Context(), attemptContext: r.Context(),
 		triedEndpoints: map[string]bool{},
@@ -109,9 +106,15 @@
 		return done
 	}
 	limit := d.timeLeft()
-	ctx, cancel := context.WithTimeoutCause(d.request.Context(), limit, errTimeout)
+	timed, cancel := context.WithTimeoutCause(d.request.Context(), limit, errTimeout)
 	defer cancel()
+	ctx, end := context.WithCancelCause(timed)
+	defer end(nil)
+	defer context.AfterFunc(d.front.endContext, func() { end(errStopping) })()
 	d.requestContext, d.attemptContext, d.deadline = ctx, ctx, d.front.now()+limit
+	if done := d.checkSendEnd(); done != "" {
+		return done
+	}
 	if done := d.findOrigin(); done != "" {
 		return done
 	}
@@ -133,9 +136,12 @@
 	if d.request.ContentLength > limit {
 		return d.denyBody(limit)
 	}
+	defer context.AfterFunc(d.front.endContext, d.endReading)()
 	body, err := io.ReadAll(http.MaxBytesReader(d.writer, d.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && d.front.endContext.Err() != nil:
+		return d.refuseUnavailable(errStopping.Error(), minRetryAfter)
 	case errors.As(err, &tooLarge):
 		return d.denyBody(limit)
 	case err != nil:
@@ -164,6 +170,13 @@
 	return d.deny(http.StatusRequestEntityTooLarge, "body too large")
 }
 
+// endReading ends the reading of the body.
+func (d *delivery) endReading() {
+	if err := http.NewResponseController(d.writer).SetReadDeadline(time.Now()); err != nil {
+		d.front.log.Debug().Str("request_id", d.call.ID).Err(err).Msg("read_deadline_not_set")
+	}
+}
+
 // admit checks the request against the configuration and selects its service.
 func (d *delivery) admit() outcome {
 	admission, refusal, reason := d.awaitCheck()
@@ -265,7 +278,7 @@
 		d.charged = charge{account: account.Name, cost: cost, sends: d.sends}
 		return ""
 	case <-d.front.stopped:
-		return d.refuseOrGiveUp("stopping", minRetryAfter)
+		return d.refuseOrGiveUp(errStopping.Error(), minRetryAfter)
 	}
 }
 
@@ -301,18 +314,30 @@
 	attempt, cancel := context.WithCancelCause(d.requestContext)
 	d.attemptContext = attempt
 	d.front.send(submitMessage{request: d.schedulerRequest(), callID: d.call.ID, subjects: d.subjects, first: d.placements == 1, sends: d.sends, reply: reply, cancel: cancel})
-	select {
-	case decided := <-reply:
-		if decided.refusal != nil {
-			return scheduler.Placement{}, d.refuseByScheduler(decided.refusal)
+	drainBegun := d.front.drainBegun
+	var tooLate <-chan time.Time
+	for {
+		select {
+		case decided := <-reply:
+			if decided.refusal != nil {
+				return scheduler.Placement{}, d.refuseByScheduler(decided.refusal)
+			}
+			d.queuedTime += decided.placement.Waited
+			return *decided.placement, ""
+		case <-drainBegun:
+			drainBegun = nil
+			if left, limited := d.sendEnd(); limited {
+				tooLate = time.After(left)
+			}
+		case <-tooLate:
+			d.front.send(withdrawMessage{id: d.id})
+			return scheduler.Placement{}, d.endUnsent()
+		case <-d.requestContext.Done():
+			d.front.send(withdrawMessage{id: d.id})
+			return scheduler.Placement{}, d.endUnanswered()
+		case <-d.front.stopped:
+			return scheduler.Placement{}, d.giveUp(errStopping.Error())
 		}
-		d.queuedTime += decided.placement.Waited
-		return *decided.placement, ""
-	case <-d.requestContext.Done():
-		d.front.send(withdrawMessage{id: d.id})
-		return scheduler.Placement{}, d.endUnanswered()
-	case <-d.front.stopped:
-		return scheduler.Placement{}, d.giveUp("stopping")
 	}
 }
 
