front: endless answers of one endpoint do not take all the memory

Operators saw an endpoint send bytes that were no answer, without end, until the front closed. The front kept them all, ran out of memory, and the requests of other clients on it ended with it.

Cause: each answer was bounded (16 MiB, an event of a stream 4 MiB), the sum was not.

What a front holds of all answers now has a bound, front.held_mb, by default a quarter of memory_mb. When it is spent, the endpoint that has the most of it loses its largest answer, with a line (answer_given_up) and a metric; the request may have run, and the endpoint counts as failed. So the answers of a sound endpoint find room. An answer waits while those that are written to callers have the room, and a caller that does not read loses its answer after 5 s instead of holding it for ever. Bodies are held in pieces, which are not copied when they grow.

An event that is too long no longer counts as a run whose connection broke: this front ended it. Before, callers were refused for it with endpoints_may_crash_on_request.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -16,7 +16,7 @@
 type answer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *heldAnswer
 }
 
 // hopByHopHeaders apply to one connection only and are not passed on.
@@ -45,11 +45,20 @@
 	d.endpointStatus = a.status
 	d.writeHead(a.header)
 	if d.request.Method != http.MethodHead {
-		d.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		d.writer.Header().Set("Content-Length", strconv.Itoa(a.body.length()))
 	}
 	d.writer.WriteHeader(a.status)
-	if _, err := d.writer.Write(a.body); err != nil {
-		return outcomeGone
+	control := http.NewResponseController(d.writer)
+	for i, piece := range a.body.pieces {
+		if i > 0 {
+			// What a caller does not read takes room that others wait for.
+			if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+				d.front.log.Debug().Err(err).Msg("write_deadline_not_set")
+			}
+		}
+		if _, err := d.writer.Write(piece); err != nil {
+			return outcomeGone
+		}
 	}
 	return outcomeAnswered
 }
@@ -191,7 +200,7 @@
 		return outcomeInterrupted
 	case d.runs == 0:
 		return d.refuse(http.StatusServiceUnavailable, reason, minRetryAfter)
-	case d.heldFailure != nil:
+	case d.takeHeldFailure():
 		return d.writeAnswer(d.heldFailure)
 	}
 	d.problemAnswer(http.StatusBadGateway, reportedMayHaveRun, reason)
@@ -213,7 +222,7 @@
 		return outcomeInterrupted
 	case d.runs == 0:
 		return d.refuse(http.StatusServiceUnavailable, "timeout", minRetryAfter)
-	case d.heldFailure != nil:
+	case d.takeHeldFailure():
 		return d.writeAnswer(d.heldFailure)
 	}
 	d.problemAnswer(http.StatusGatewayTimeout, reportedMayHaveRun, "timeout")
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -276,18 +276,40 @@
 		}
 		return d.relayStream(p, conn, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		return attemptResult{kind: mayHaveRun, reason: "answer cut short", broken: err != nil && d.attemptContext.Err() == nil}, d.connectionOutcome()
+	body := d.front.answerMemory.newAnswer(p.Endpoint, conn.Close)
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	defer func() {
+		if a != d.heldFailure {
+			body.release()
+		}
+	}()
+	if err := body.readBody(d.attemptContext, resp.Body, resp.ContentLength); err != nil {
+		return d.cutShort("answer cut short", err, body)
 	}
 	if d.endedWithEndpoint(p, conn, resp) {
 		return attemptResult{kind: mayHaveRun, reason: reasonEndpointEnded, broken: true}, scheduler.Failed
 	}
+	if !body.keep(heldDelivering) {
+		return d.cutShort("answer cut short", errNoRoom, body)
+	}
 	conn.Release(resp)
-	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
 	return d.handleAnswer(a, success)
 }
 
+// cutShort returns how an attempt ends whose answer was not read to its end.
+func (d *delivery) cutShort(reason string, err error, held *heldAnswer) (attemptResult, scheduler.Outcome) {
+	if held.wasGivenUp() {
+		err = errNoRoom
+	}
+	if errors.Is(err, errNoRoom) || errors.Is(err, errAnswerTooLong) || errors.Is(err, errEventTooLong) {
+		d.front.log.Warn().Str("request_id", d.call.ID).Str("endpoint", d.lastEndpoint).Int64("bytes", held.bytes()).
+			Bool("started", d.streamStarted).Err(err).Msg("answer_given_up")
+		d.front.metrics.answerGivenUp(err.Error())
+		return attemptResult{kind: mayHaveRun, reason: reason + ": " + err.Error()}, scheduler.Failed
+	}
+	return attemptResult{kind: mayHaveRun, reason: reason + ": " + d.failureReason(err), broken: d.attemptContext.Err() == nil}, d.connectionOutcome()
+}
+
 // reasonNotTakenUp is why an answer does not go on with a stream that has begun.
 const reasonNotTakenUp = "stream not taken up"
 
@@ -348,7 +370,9 @@
 		return attemptResult{kind: mayHaveRun, reason: reasonNotTakenUp}, scheduler.Failed
 	}
 	if !success && a.status >= http.StatusInternalServerError && d.maxRuns > 1 {
-		d.heldFailure = a
+		if a.body.keep(heldParked) {
+			d.holdFailure(a)
+		}
 		return attemptResult{kind: mayHaveRun, reason: "endpoint failed with " + http.StatusText(a.status)}, scheduler.Failed
 	}
 	outcome := scheduler.Answered
@@ -359,3 +383,17 @@
 	result.answered = success
 	return result, outcome
 }
+
+// holdFailure keeps an endpoint's failure in place of an earlier one; nil = none.
+func (d *delivery) holdFailure(a *answer) {
+	if d.heldFailure != nil {
+		d.heldFailure.body.release()
+	}
+	d.heldFailure = a
+}
+
+// takeHeldFailure reports whether there is a failure for the caller, and keeps it until it is
+// written.
+func (d *delivery) takeHeldFailure() bool {
+	return d.heldFailure != nil && d.heldFailure.body.keep(heldDelivering)
+}
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -67,6 +67,8 @@
 	FirstStart bool
 	// MaxBodyBytes limits a request body where the configuration states no limit.
 	MaxBodyBytes int64
+	// MaxHeldBytes limits the bytes of endpoints' answers in memory.
+	MaxHeldBytes int64
 
 	Timing    Timing
 	Scheduler scheduler.Config
@@ -195,6 +197,7 @@
 	setDefault(&c.Scheduler.RefuseMargin, scheduler.DefaultRefuseMargin)
 	setDefault(&c.Directory.ReregisterTime, defaultReregisterTime)
 	setDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&c.MaxHeldBytes, defaultHeldBytes)
 	setDefault(&c.StopTimeout, 8*time.Second)
 	return c
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -45,6 +45,8 @@
 	clock       *boottime.Clock
 	pool        *backend.Pool
 	metrics     *metrics
+	// answerMemory bounds what is held of endpoints' answers.
+	answerMemory *answerMemory
 
 	callerListener, readinessListener, operatorListener net.Listener
 	relayListener                                       net.Listener
@@ -87,7 +89,8 @@
 	f := &Front{
 		config: cfg, log: cfg.Log, incarnation: newIncarnation(), clock: boottime.New(),
 		pool: backend.NewPool(cfg.Backend), metrics: m,
-		inbox: make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
+		answerMemory: newAnswerMemory(cfg.MaxHeldBytes),
+		inbox:        make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
 		topics: newRelayedTopics(), relay: newRelayClient(), membersKnown: make(chan struct{}),
 		drainBegun: make(chan struct{}), endContext: endContext, endRequests: endRequests,
 		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -73,6 +73,7 @@
 		triedEndpoints: map[string]bool{},
 	}
 	outcome := d.serve()
+	d.holdFailure(nil)
 	d.logEnd(outcome)
 	if outcome == outcomeInterrupted {
 		panic(http.ErrAbortHandler) // breaks the connection, so that the caller does not take the answer for complete
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -25,6 +25,7 @@
 	streamsTakenUp                           metric.Int64Counter
 	waited, firstByte, total                 metric.Float64Histogram
 	deniedAge                                metric.Float64Histogram
+	answersGivenUp                           metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -48,6 +49,7 @@
 		placesGiven:            i.Counter("primrosespoke_places_granted", "{place}", "places of model engines that were granted to other entries"),
 		closures:               i.Counter("primrosespoke_places_closed", "{change}", "model engines that this front has closed as their home, since fronts could not reach them, or opened again"),
 		silentHomes:            i.Counter("primrosespoke_silent_homes", "{home}", "homes of places that stopped answering"),
+		answersGivenUp:         i.Counter("primrosespoke_answers_given_up", "{answer}", "answers of endpoints that were given up, since they were too long or there was no room for them, by reason"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -101,6 +103,11 @@
 	m.brokenRuns.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("endpoint_ended", endpointEnded)))
 }
 
+// answerGivenUp counts an answer that was given up, and why.
+func (m *metrics) answerGivenUp(reason string) {
+	m.answersGivenUp.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 // subjectChanged counts a part of prompts or a request that was convicted or let go.
 func (m *metrics) subjectChanged(event string) {
 	m.subjectChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("event", event)))
--- a/daemon/front/stream.go
+++ b/daemon/front/stream.go
@@ -47,6 +47,9 @@
 	reader *bufio.Reader
 	event  []byte // the current event
 	id     string // of the current event; empty = none
+	// reserve is called before the buffer of the event grows beyond eventBufferBytes to a size, and
+	// with 0 once it no longer exceeds that; nil = none.
+	reserve func(size int64) error
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -56,10 +59,23 @@
 // next reads one event. It returns io.EOF after the last one.
 func (e *eventReader) next() error {
 	e.event, e.id = e.event[:0], ""
+	if cap(e.event) > eventBufferBytes {
+		e.event = nil
+		if err := e.grow(0); err != nil {
+			return err
+		}
+	}
 	lineStart, hasContent := 0, false
 	for {
 		// A line longer than the buffer comes in pieces, all but the last with ErrBufferFull.
 		piece, err := e.reader.ReadSlice('\n')
+		if need := len(e.event) + len(piece); need > cap(e.event) && need > eventBufferBytes {
+			size := min(2*need, maxEventBytes+2*eventBufferBytes)
+			if err := e.grow(size); err != nil {
+				return err
+			}
+			e.event = append(make([]byte, 0, size), e.event...)
+		}
 		e.event = append(e.event, piece...)
 		switch {
 		case len(e.event) > maxEventBytes:
@@ -83,6 +99,13 @@
 	}
 }
 
+func (e *eventReader) grow(size int) error {
+	if e.reserve == nil {
+		return nil
+	}
+	return e.reserve(int64(size))
+}
+
 // hasNext reports whether another complete event is already buffered.
 func (e *eventReader) hasNext() bool {
 	waiting, err := e.reader.Peek(e.reader.Buffered())
@@ -93,6 +116,9 @@
 // so that another endpoint can continue a stream that breaks.
 func (d *delivery) relayStream(p scheduler.Placement, conn *backend.Conn, resp *http.Response) (attemptResult, scheduler.Outcome) {
 	events := newEventReader(resp.Body)
+	held := d.front.answerMemory.newAnswer(p.Endpoint, conn.Close)
+	defer held.release()
+	events.reserve = func(size int64) error { return held.resize(d.attemptContext, size) }
 	progress := progressReporter{front: d.front, id: d.id}
 	for {
 		err := events.next()
@@ -108,7 +134,7 @@
 		}
 		if err != nil {
 			d.flush()
-			return attemptResult{kind: mayHaveRun, reason: "stream broke off: " + d.failureReason(err), broken: d.attemptContext.Err() == nil}, d.connectionOutcome()
+			return d.cutShort("stream broke off", err, held)
 		}
 		progress.event()
 		if d.attemptWritingSince == 0 {
