front: a store that cuts a wait short is not relied on for the next

A denial may rest on an empty answer that proves the end of its wait. That holds because the store is to keep the whole wait. If it doesn't, an answer that was given early and arrives late proves up to 1.5 s too much, more than the bound on the age leaves; TestAStoreThatCutsWaitsDoesNotProveTheirEnd showed such a proof, and none now. No store is known to have cut a wait. The first cut is not seen if its answer is late.

An answer without records that comes before the end of its wait is logged, and for a minute reads prove only when they were sent; their waits are 0.6 s at most, so that the age stays below the bound.

Weighed: counting the send alone always. Where all fronts read the store, waits of 1.5 s would let the age reach 3 s, with a bound of 2.7 s.

--- a/daemon/front/proof_test.go
+++ b/daemon/front/proof_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// An answer that was given early may arrive late, so one that was seen to come early makes all others
+// doubtful for a time.
+func TestAStoreThatCutsWaitsDoesNotProveTheirEnd(t *testing.T) {
+	const wait = 60 * time.Millisecond
+	g := NewWithT(t)
+	store := &lateStore{batch: mirror.Batch{Next: 5, End: 5}, delay: 2 * wait}
+	f := newProofFront(t, func(cfg *Config) { cfg.Store = store })
+	read := func() (got fetchResult, sentAfter time.Duration) {
+		sentAfter = f.now()
+		got, err := f.fetchStored(context.Background(), TopicConfiguration, 5, wait)
+		g.Expect(err).NotTo(HaveOccurred())
+		return got, sentAfter
+	}
+	got, _ := read()
+	g.Expect(got.waited).To(BeTrue(), "no wait was cut so far")
+	store.delay = 0
+	got, _ = read()
+	g.Expect(got.waited).To(BeFalse())
+	store.delay = 2 * wait
+	got, sentAfter := read()
+	g.Expect(got.waited).To(BeFalse(), "it may have been given early")
+	g.Expect(got.asOf).To(BeNumerically("<", sentAfter+wait))
+}
+
 // The address of a front that is gone may be another program's by now. What answers there proves
 // nothing unless it can be the reply of a front.
 func TestAReplyThatNoFrontCanHaveGivenProvesNothing(t *testing.T) {
--- a/daemon/front/relay_client.go
+++ b/daemon/front/relay_client.go
@@ -32,6 +32,12 @@
 	// the list of entries that is accepted from another front: a front that loses contact with
 	// the store goes on serving outdated records at first.
 	maxRelayLag = 700 * time.Millisecond
+	// waitSlack is how much sooner than at the end of its wait an answer of the store may seem to
+	// come, since clocks of two machines run at slightly different rates.
+	waitSlack = 10 * time.Millisecond
+	// waitDistrust is how long no answer of the store proves the end of its wait after one that
+	// came before that.
+	waitDistrust = time.Minute
 	// relayExclusion is how long a front is not asked after a read of it failed.
 	relayExclusion = 2 * time.Second
 )
@@ -83,6 +89,7 @@
 	excludedUntil      map[string]time.Duration // by address of a parent whose read failed
 	fallbacks          map[Topic][]string       // addresses of other fronts with recent copies of a topic
 	storeExcludedUntil time.Duration            // after a failed read of the store
+	waitsCutUntil      time.Duration            // until when the store is not relied on to keep a read waiting
 }
 
 func newRelayClient() *relayClient {
@@ -146,6 +153,21 @@
 	r.storeExcludedUntil = until
 }
 
+// storeKeepsWaits reports whether the store is relied on to keep a read waiting for as long as it
+// was asked to.
+func (r *relayClient) storeKeepsWaits(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now >= r.waitsCutUntil
+}
+
+// distrustWaits stops relying on that until a moment.
+func (r *relayClient) distrustWaits(until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waitsCutUntil = until
+}
+
 // sourcesAt returns the fronts to ask for a topic if the store can't be read, and whether they
 // are to be asked before the store.
 func (r *relayClient) sourcesAt(now time.Duration, topic Topic) (fallbacks []string, storeExcluded bool) {
@@ -274,7 +296,8 @@
 
 // fetchStored reads a topic from the store.
 func (f *Front) fetchStored(ctx context.Context, topic Topic, from int64, wait time.Duration) (fetchResult, error) {
-	if !f.relay.position.Load().allReadStore {
+	waitKept := f.relay.storeKeepsWaits(f.now())
+	if !waitKept || !f.relay.position.Load().allReadStore {
 		wait = min(wait, storeReaderWait)
 	}
 	sentAt := f.now()
@@ -299,7 +322,23 @@
 		return fetchResult{}, err
 	}
 	f.metrics.storeCalls.Add(f.baseContext, 1)
-	return newStoredResult(topic, batch, from, sentAt, wait, f.now()), nil
+	got := newStoredResult(topic, batch, from, sentAt, wait, f.now())
+	if from >= 0 && !got.passesRecords(from) && got.took < wait-waitSlack {
+		if waitKept {
+			f.log.Warn().Str("topic", topicNames[topic]).Dur("wait_ms", wait).Dur("took_ms", got.took).Msg("store_wait_cut")
+		}
+		f.relay.distrustWaits(f.now() + waitDistrust)
+	}
+	if got.waited && !waitKept {
+		got.asOf, got.waited = sentAt, false
+	}
+	return got, nil
+}
+
+// passesRecords reports whether the answer to a read from an offset passes records, or says that
+// there are some, also if they hold no key.
+func (r *fetchResult) passesRecords(from int64) bool {
+	return r.Next != from || r.Partial()
 }
 
 // newStoredResult returns what a read of the store from an offset showed that was sent at a time,
@@ -308,7 +347,7 @@
 	got := fetchResult{Batch: batch, full: from < 0, asOf: sentAt, source: sourceStore, took: now - sentAt}
 	// An answer without records after the whole wait shows that nothing had changed up to the end
 	// of the wait. One that passes records without a key was given when these came.
-	if from >= 0 && topic != TopicEndpoints && batch.Next == from && !batch.Partial() && now >= sentAt+wait {
+	if from >= 0 && topic != TopicEndpoints && !got.passesRecords(from) && now >= sentAt+wait {
 		got.asOf, got.waited = sentAt+wait, true
 	}
 	return got
