backend: heads of many short lines do not take all the memory

An endpoint that sends header lines without end made a front with memory_mb 134 exceed it: the head was bounded by 256 KiB, but each line takes some 100 bytes more once it is parsed.

A head is now bounded by 64 KiB, as those of callers are, and by 512 lines. The error says that the head was too long where the parser calls its last line malformed.

--- a/daemon/peer/backend/backend_test.go
+++ b/daemon/peer/backend/backend_test.go
@@ -265,3 +265,24 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("body"))
 }
+
+// Guards against heads of many short lines, which take far more memory than bytes.
+func TestHeadOfTooManyLinesIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	for lines, accepted := range map[int]bool{400: true, 8000: false} {
+		p := newPeer(t, func(id string) string {
+			var b strings.Builder
+			for i := range lines {
+				fmt.Fprintf(&b, "%d:\r\n", i)
+			}
+			return response(id, strings.Repeat("\n", 20_000), b.String())
+		})
+		body, _, err := exchange(backend.NewPool(backend.Options{}), p, "1")
+		if accepted {
+			g.Expect(err).NotTo(HaveOccurred(), "the lines of a body do not count")
+			g.Expect(body).To(HaveLen(20_000))
+		} else {
+			g.Expect(err).To(MatchError(ContainSubstring("too long")))
+		}
+	}
+}
--- a/daemon/peer/backend/conn.go
+++ b/daemon/peer/backend/conn.go
@@ -31,7 +31,9 @@
 	// maxInterimAnswers bounds the answers with a status below 200 before the answer to a request.
 	maxInterimAnswers = 16
 	// maxHeadBytes bounds the status line and header of an answer.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds their lines, each of which takes far more memory than a short one has bytes.
+	maxHeadLines = 512
 	// maxSkippedBodyBytes bounds the body of each skipped answer.
 	maxSkippedBodyBytes = 4 << 20
 	// maxAnsweredErrors bounds the requests that a connection remembers, see MarkFailed. It is not
@@ -59,28 +61,38 @@
 }
 
 func newConn(p *Pool, address string, netConn net.Conn) *Conn {
-	limit := &readLimit{reader: netConn, left: unlimited}
+	limit := &readLimit{reader: netConn, left: unlimited, lines: unlimited}
 	return &Conn{pool: p, address: address, netConn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // unlimited is a number of bytes that is never read.
 const unlimited = math.MaxInt64
 
+var newline = []byte("\n")
+
 var errHeadTooLong = errors.New("status line and header are too long")
 
-// readLimit ends reading with errHeadTooLong after a number of bytes.
+// readLimit ends reading with errHeadTooLong after a number of bytes or lines.
 type readLimit struct {
 	reader io.Reader
 	left   int64
+	lines  int64
+	// exceeded is set once reading was ended. The parser may report what it had read as malformed.
+	exceeded bool
 }
 
 // Read implements io.Reader.
 func (l *readLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
+	if l.left <= 0 || l.lines <= 0 {
+		l.exceeded = true
 		return 0, errHeadTooLong
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	if l.lines != unlimited {
+		// What was read beyond the head counts too, but then nothing more is read for it.
+		l.lines -= int64(bytes.Count(p[:n], newline))
+	}
 	return n, err
 }
 
@@ -202,9 +214,12 @@
 func (c *Conn) Receive(method string, isOwn func(status int, h http.Header) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for skipped, interim := 0, 0; ; {
-		c.limit.left = maxHeadBytes
+		c.limit.left, c.limit.lines = maxHeadBytes, maxHeadLines
 		resp, err := http.ReadResponse(c.reader, request)
-		c.limit.left = unlimited
+		c.limit.left, c.limit.lines = unlimited, unlimited
+		if c.limit.exceeded {
+			return nil, errors.Wrap(errHeadTooLong, "answer")
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
