front: a long body is not denied while no configuration is known

Callers of a front that had just started got 413 for a body over the limit of the settings (4 MiB by default), and clients do not retry after a 413. The configuration, which the front had not read yet, may allow longer bodies.

The limit of the settings is for configurations that state none. The check of the body took it, and denied by it, also where there was no configuration at all; routes and keys are answered with 503 there.

TestLargeBodyIsNotDeniedWithoutAConfiguration: before "Expected 413 to equal 503", with -race -count=2 it passes, as do the tests of the limits of bodies and of requests without a configuration.

--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -7,8 +7,11 @@
 	"primrosespoke.dev/coord/staleness"
 )
 
-// reasonConfigurationOld is why a request is neither denied nor sent by the configuration.
-const reasonConfigurationOld = "configuration out of date"
+// Reasons why a request is neither denied nor sent by the configuration.
+const (
+	reasonConfigurationOld = "configuration out of date"
+	reasonNoConfiguration  = "no configuration known"
+)
 
 // configurationState is the configuration that requests are checked against. The control
 // goroutine publishes it as one immutable copy.
@@ -150,7 +153,7 @@
 // that there is no such route or key holds only while it is recent.
 func (d *delivery) check(state *configurationState) (routing.Admission, routing.Refusal, string) {
 	if state.table == nil {
-		return routing.Admission{}, routing.NoRoute, "no configuration known"
+		return routing.Admission{}, routing.NoRoute, reasonNoConfiguration
 	}
 	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key)
 	allowed := refusal == routing.Allowed
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -164,7 +164,10 @@
 // one in force is out of date, or if the limit was raised while the body was read.
 func (d *delivery) denyBody(limit int64) outcome {
 	state := d.front.configuration.Load()
-	if state.table != nil && (d.front.configurationOutOfDate(state) || d.front.maxBodyBytes(state) > limit) {
+	if state.table == nil {
+		return d.refuseUnavailable(reasonNoConfiguration, staleRetryAfter)
+	}
+	if d.front.configurationOutOfDate(state) || d.front.maxBodyBytes(state) > limit {
 		return d.refuseUnavailable(reasonConfigurationOld, staleRetryAfter)
 	}
 	d.checkedBy, d.checkedAt = state, d.front.now()
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -35,7 +35,7 @@
 	case f.draining.Load():
 		return "stopping"
 	case state.table == nil:
-		return "no configuration known"
+		return reasonNoConfiguration
 	case f.configurationOutOfDate(state) && !state.usedWhenOld():
 		return reasonConfigurationOld
 	case !f.keysTrusted(state):
