front: callers' large bodies do not take all the memory

Cause: each body was bounded, the sum was not, and each was copied while it grew and once more for each send.

Bodies of more than 16 KiB now have a bound together, front.bodies_mb, by default a quarter of memory_mb. One is read once there is room for all of it. It is read into a buffer of its length and sent without a copy.

--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -69,6 +69,8 @@
 	MaxBodyBytes int64
 	// MaxHeldBytes limits the bytes of endpoints' answers in memory.
 	MaxHeldBytes int64
+	// MaxBodiesBytes limits the bytes of callers' large bodies in memory.
+	MaxBodiesBytes int64
 
 	Timing    Timing
 	Scheduler scheduler.Config
@@ -198,6 +200,7 @@
 	setDefault(&c.Directory.ReregisterTime, defaultReregisterTime)
 	setDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&c.MaxHeldBytes, defaultHeldBytes)
+	setDefault(&c.MaxBodiesBytes, defaultBodiesBytes)
 	setDefault(&c.StopTimeout, 8*time.Second)
 	return c
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -47,6 +47,8 @@
 	metrics     *metrics
 	// answerMemory bounds what is held of endpoints' answers.
 	answerMemory *answerMemory
+	// bodyMemory bounds what is held of callers' requests.
+	bodyMemory *bodyMemory
 
 	callerListener, readinessListener, operatorListener net.Listener
 	relayListener                                       net.Listener
@@ -89,8 +91,8 @@
 	f := &Front{
 		config: cfg, log: cfg.Log, incarnation: newIncarnation(), clock: boottime.New(),
 		pool: backend.NewPool(cfg.Backend), metrics: m,
-		answerMemory: newAnswerMemory(cfg.MaxHeldBytes),
-		inbox:        make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
+		answerMemory: newAnswerMemory(cfg.MaxHeldBytes), bodyMemory: newBodyMemory(cfg.MaxBodiesBytes, cfg.MaxBodyBytes),
+		inbox: make(chan message, inboxSize), stopped: make(chan struct{}), baseContext: base, cancelBase: cancelBase,
 		topics: newRelayedTopics(), relay: newRelayClient(), membersKnown: make(chan struct{}),
 		drainBegun: make(chan struct{}), endContext: endContext, endRequests: endRequests,
 		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"math/rand"
 	"net/http"
@@ -29,6 +28,7 @@
 	id             uint64 // sequence number within this process, the request's ID in the scheduler
 	call           Call
 	body           []byte
+	bodyRoom       int64                // of Front.bodyMemory, which the body takes
 	content        uint64               // see contentID
 	subjects       []quarantine.Subject // see subjectsOf
 	admission      routing.Admission
@@ -72,6 +72,7 @@
 		front: f, writer: w, request: r, id: f.lastDeliveryID.Add(1), arrived: f.now(), requestContext: r.Context(), attemptContext: r.Context(),
 		triedEndpoints: map[string]bool{},
 	}
+	defer d.releaseBody()
 	outcome := d.serve()
 	d.holdFailure(nil)
 	d.logEnd(outcome)
@@ -130,57 +131,6 @@
 	return done
 }
 
-// readBody reads the whole body, since a request may be sent more than once and an
-// endpoint may answer before it has read everything.
-func (d *delivery) readBody() outcome {
-	limit := d.front.maxBodyBytes(d.front.configuration.Load())
-	if d.request.ContentLength > limit {
-		return d.denyBody(limit)
-	}
-	defer context.AfterFunc(d.front.endContext, d.endReading)()
-	body, err := io.ReadAll(http.MaxBytesReader(d.writer, d.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err != nil && d.front.endContext.Err() != nil:
-		return d.refuseUnavailable(errStopping.Error(), minRetryAfter)
-	case errors.As(err, &tooLarge):
-		return d.denyBody(limit)
-	case err != nil:
-		return d.deny(http.StatusBadRequest, "body unreadable")
-	}
-	d.body = body
-	return ""
-}
-
-// maxBodyBytes returns how long a body may be by a configuration.
-func (f *Front) maxBodyBytes(state *configurationState) int64 {
-	if t := state.table; t != nil && t.Limits.BodyBytes > 0 {
-		return t.Limits.BodyBytes
-	}
-	return f.config.MaxBodyBytes
-}
-
-// denyBody answers a request whose body is longer than a limit. A newer version may allow it if the
-// one in force is out of date, or if the limit was raised while the body was read.
-func (d *delivery) denyBody(limit int64) outcome {
-	state := d.front.configuration.Load()
-	if state.table == nil {
-		return d.refuseUnavailable(reasonNoConfiguration, staleRetryAfter)
-	}
-	if d.front.configurationOutOfDate(state) || d.front.maxBodyBytes(state) > limit {
-		return d.refuseUnavailable(reasonConfigurationOld, staleRetryAfter)
-	}
-	d.checkedBy, d.checkedAt = state, d.front.now()
-	return d.deny(http.StatusRequestEntityTooLarge, "body too large")
-}
-
-// endReading ends the reading of the body.
-func (d *delivery) endReading() {
-	if err := http.NewResponseController(d.writer).SetReadDeadline(time.Now()); err != nil {
-		d.front.log.Debug().Str("request_id", d.call.ID).Err(err).Msg("read_deadline_not_set")
-	}
-}
-
 // admit checks the request against the configuration and selects its service.
 func (d *delivery) admit() outcome {
 	admission, refusal, reason := d.awaitCheck()
--- a/daemon/peer/backend/conn.go
+++ b/daemon/peer/backend/conn.go
@@ -172,10 +172,10 @@
 	HasBody bool
 }
 
-// encode returns the request as it is sent.
+// encode returns the request as it is sent, with its body unless that is large.
 func (r *Request) encode() ([]byte, error) {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxInlineWriteBytes))
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(&b); err != nil {
 		return nil, errors.Wrap(err, "header")
@@ -184,7 +184,9 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	if len(r.Body) <= maxInlineWriteBytes {
+		b.Write(r.Body)
+	}
 	return b.Bytes(), nil
 }
 
@@ -196,11 +198,16 @@
 	if err != nil {
 		return false, err
 	}
-	if len(data) > maxInlineWriteBytes {
-		c.writeResult = make(chan error, 1)
+	parts := net.Buffers{data}
+	if len(r.Body) > maxInlineWriteBytes {
+		parts = append(parts, r.Body)
+	}
+	if len(parts) > 1 || len(data) > maxInlineWriteBytes {
+		written := make(chan error, 1)
+		c.writeResult = written
 		go func() {
-			_, err := c.netConn.Write(data)
-			c.writeResult <- err
+			_, err := parts.WriteTo(c.netConn)
+			written <- err
 		}()
 		return true, nil
 	}
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -15,9 +15,9 @@
 	// memoryLimitFraction is the fraction of the configured memory that becomes the soft memory
 	// limit of the Go runtime.
 	memoryLimitFraction = 0.7
-	// heldFraction is the fraction of the configured memory that endpoints' answers may take where
-	// no bound is set.
-	heldFraction = 0.25
+	// memoryPartFraction is the fraction of the configured memory that endpoints' answers may take, and
+	// callers' bodies, where no bound is set.
+	memoryPartFraction = 0.25
 	// keyTrustFraction is the fraction of the time for which keys may be trusted after which a
 	// front stops using them. The rest is left for sending a request after the check.
 	keyTrustFraction = 0.9
@@ -57,7 +57,8 @@
 		MaxConfigurationAge: time.Duration(keyTrustFraction * float64(s.Front.TrustKeysFor)),
 		StopTimeout:         s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
 		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
-		FirstStart: s.Front.FirstStart, MaxHeldBytes: maxHeldBytes(&s.Front),
+		FirstStart: s.Front.FirstStart, MaxHeldBytes: memoryPart(s.Front.HeldMB, s.Front.MemoryMB),
+		MaxBodiesBytes: memoryPart(s.Front.BodiesMB, s.Front.MemoryMB),
 	})
 	if err != nil {
 		log.Error().Err(err).Msg("not_started")
@@ -69,10 +70,11 @@
 	return f.Run(ctx)
 }
 
-// maxHeldBytes returns the bytes of endpoints' answers that a front may hold; 0 = its default.
-func maxHeldBytes(s *settings.Front) int64 {
-	if s.HeldMB > 0 {
-		return s.HeldMB << 20
+// memoryPart returns the bytes of a part of the memory that is set in megabytes, or else its usual
+// part; 0 = the front's default.
+func memoryPart(mb, memoryMB int64) int64 {
+	if mb > 0 {
+		return mb << 20
 	}
-	return int64(heldFraction * float64(s.MemoryMB<<20))
+	return int64(memoryPartFraction * float64(memoryMB<<20))
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -85,5 +85,6 @@
 	CapSlack     float64       `yaml:"cap_slack" default:"0" unit:"of the caps" doc:"what a usage cap may be exceeded by, for all entries together" check:"min 0"`
 	FirstStart   bool          `yaml:"first_start" default:"false" doc:"whether the whole system starts for the first time, so that no caller has a broken stream yet"`
 	MemoryMB     int64         `yaml:"memory_mb" default:"0" unit:"megabytes" doc:"memory that the process may take; 0 = no limit" check:"min 0"`
+	BodiesMB     int64         `yaml:"bodies_mb" default:"0" unit:"megabytes" doc:"callers' bodies of more than 16 KiB in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
 	HeldMB       int64         `yaml:"held_mb" default:"0" unit:"megabytes" doc:"endpoints' answers in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
 }
