front: a caller that reads nothing does not keep the room for answers

Callers of large answers got 504 at a front where one caller had stopped reading: its answer counts against the bound on answers in memory until it is written, and one that is being written is never given up. So a caller that reads nothing at all held up to 16 MiB of the room for as long as its connection stood, and four of them all of the default room of 64 MiB.

Cause: the time limit of a write was set from the second piece on. The first piece, 64 KiB where the length is stated, blocks without a limit if it does not fit in the buffers of the connection. Now each piece has the limit.

TestCallerThatReadsNothingDoesNotKeepTheRoomForAnswers (a caller with small buffers; room of 4 MiB, answers of 3 MiB): before, two of two runs, "Expected 504 to equal 200" for 10 s; now it passes with -race -count=3.

A caller that takes a piece every few seconds still keeps the room of its answer until it has all of it.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -49,12 +49,10 @@
 	}
 	d.writer.WriteHeader(a.status)
 	control := http.NewResponseController(d.writer)
-	for i, piece := range a.body.pieces {
-		if i > 0 {
-			// What a caller does not read takes room that others wait for.
-			if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
-				d.front.log.Debug().Err(err).Msg("write_deadline_not_set")
-			}
+	for _, piece := range a.body.pieces {
+		// What a caller does not read takes room that others wait for.
+		if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+			d.front.log.Debug().Err(err).Msg("write_deadline_not_set")
 		}
 		if _, err := d.writer.Write(piece); err != nil {
 			return outcomeGone
