front: saved origins are read anew after the store came back older

Callers that take a stream up again would get 503 "software version of the stream unknown" from a front that read saved origins before the store came back from an older copy, though the origin is in the store.

Cause: the read goes on at the offset that was reached, whatever the era. The store gives the offsets before that out again, so what entries save there after it came back is never read. Where the topic was shorter than that offset the read began anew, which hid it.

The offset has its era now, as in the other topics: where the era differs, the log is read from its beginning. Learning an origin twice changes nothing.

TestOriginsThatAreWrittenAgainAfterTheStoreCameBackOlderAreRead: before, "stream 4: expected false to be true"; now it passes with -race. TestReadOfALogStatesItsEra checks the client. Not seen in a deployment: it takes two versions of a service at once and a store that came back older.

--- a/daemon/front/origin_store.go
+++ b/daemon/front/origin_store.go
@@ -199,7 +199,7 @@
 // readOrigins reads saved origins, and extends the history of the list, on request until ctx ends.
 // One read answers all requests that wait.
 func (f *Front) readOrigins(ctx context.Context) {
-	next := int64(0)
+	var next offset
 	for {
 		var waiting []chan struct{}
 		select {
@@ -226,24 +226,30 @@
 }
 
 // readOriginsFrom reads what was saved from an offset on, and returns the offset to read from next.
-func (f *Front) readOriginsFrom(ctx context.Context, from int64) int64 {
+func (f *Front) readOriginsFrom(ctx context.Context, from offset) offset {
 	begun, origins, records := f.now(), 0, 0
 	limit := max(minReadOriginRecords, originRecordsPerEntry*f.memberCount.Load())
 	for {
 		callContext, cancel := progress.WithLimits(ctx, f.readLimits(0))
 		f.metrics.storeCalls.Add(ctx, 1)
-		batch, err := f.config.Store.ReadLog(callContext, TopicOrigins, from, limit)
+		batch, err := f.config.Store.ReadLog(callContext, TopicOrigins, from.number, limit)
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
 				f.metrics.storeFailures.Add(ctx, 1)
-				f.log.Warn().Int64("from", from).Err(err).Msg("origins_not_read")
+				f.log.Warn().Int64("from", from.number).Err(err).Msg("origins_not_read")
 			}
 			if errors.Is(err, ErrTrimmed) {
-				return 0 // the store came back with fewer records
+				return offset{} // the store came back with fewer records
 			}
 			return from
 		}
+		if batch.Era != from.era && from.number > 0 {
+			f.log.Warn().Str("topic", topicNames[TopicOrigins]).Int64("from", from.number).Int64("era", batch.Era).Int64("era_before", from.era).
+				Msg("store_came_back_older")
+			from = offset{era: batch.Era}
+			continue
+		}
 		var learned []origin.Origin
 		for _, r := range batch.Records {
 			decoded, err := decodeOrigins(r.Value)
@@ -254,12 +260,12 @@
 			learned = append(learned, decoded...)
 		}
 		f.send(originsReadMessage{learned})
-		records, origins, from = records+len(batch.Records), origins+len(learned), batch.Next
+		records, origins, from = records+len(batch.Records), origins+len(learned), offset{number: batch.Next, era: batch.Era}
 		if !batch.Partial() || len(batch.Records) == 0 {
 			break
 		}
 	}
-	f.log.Info().Int64("next", from).Int("records", records).Int("streams", origins).Int64("took_ms", (f.now() - begun).Milliseconds()).Msg("origins_read")
+	f.log.Info().Int64("next", from.number).Int("records", records).Int("streams", origins).Int64("took_ms", (f.now() - begun).Milliseconds()).Msg("origins_read")
 	return from
 }
 
