front: a request that waits for a configuration is answered before the front ends

Callers whose request arrived shortly before the end of the grace of a front whose configuration was out of date could get no answer: the request waited for a more recent one, 0.15 of apply_within (0.45 s with 3 s), and the front ends 0.2 s after the moment at which what is in progress is to be answered.

Cause: that moment ends the context of a request, which it gets only once it was admitted. The wait for a configuration comes before that.

--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -167,7 +167,8 @@
 }
 
 // awaitCheck checks the request against the configuration. If that is out of date, it waits for
-// a more recent one, at most for maxConfigurationWait.
+// a more recent one, at most for maxConfigurationWait and until the requests in progress must be
+// answered.
 func (d *delivery) awaitCheck() (routing.Admission, routing.Refusal, string) {
 	var expired <-chan time.Time
 	for {
@@ -187,7 +188,7 @@
 			continue
 		case <-expired:
 		case <-d.requestContext.Done():
-		case <-d.front.stopped:
+		case <-d.front.endContext.Done():
 		}
 		return admission, refusal, reason
 	}
