--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -198,7 +198,7 @@
 }
 
 // changeAccount has the request go on under the account that holds its key by now. It is placed
-// again, since its priority and what it is accused as depend on the account.
+// again, since its priority and its content ID depend on the account.
 func (d *delivery) changeAccount(before routing.Admission) attemptResult {
 	d.front.log.Info().Str("request_id", d.call.ID).Int64("version_before", before.Version).Int64("version", d.admission.Version).
 		Str("account_before", before.AccountName()).Str("account", d.admission.AccountName()).Int("sends", d.sends).Int("runs", d.runs).
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -148,7 +148,7 @@
 	return ""
 }
 
-// identify works out what the request is accused as if an endpoint ends under it.
+// identify computes the IDs under which the request is suspected if an endpoint ends while it runs it.
 func (d *delivery) identify() {
 	d.content = contentID(d.request, d.admission.AccountName(), d.body)
 	d.subjects = subjectsOf(d.call.PromptParts, d.content)
