scheduler: ranks are an order, not a factor

What callers saw: with the slots full, a short request of a lower class or client account was started before a long one of a higher rank, which was then refused.

Cause: ranks were factors of 2 and 4 on a value per slot-second, so a request with little work outweighed any rank.

Change: the queue goes by the client account's priority, then the class's, and only then by value per slot-second. So do asks for permits and places between entries. One promise limits it: no kind of request and no account may be served less than a quarter as often as all. A rank of which less than a third as many are placed goes first until that is made good.

TestALowerRankDoesNotGoFirstForLittleWork failed before (request 1 was placed in place of 2), for classes and for accounts.

--- a/coord/scheduler/gate.go
+++ b/coord/scheduler/gate.go
@@ -39,7 +39,7 @@
 
 // restrictedDemand is the demand for the restricted endpoints of a service.
 type restrictedDemand struct {
-	value      float64       // of the first request that waits, per slot-second
+	urgency    float64       // of the first request that waits
 	lastQueued time.Duration // when a request was last queued
 }
 
@@ -54,8 +54,8 @@
 type Demand struct {
 	Endpoint string
 	Requests int
-	// Value is that of the first request, per slot-second; 0 if none waits.
-	Value float64
+	// Urgency is that of the first request; 0 if none waits.
+	Urgency float64
 }
 
 // RestrictedDemand returns the demand for restricted endpoints as of the last Plan. Where no
@@ -70,7 +70,7 @@
 		if r := s.restricted[e.Service]; r != nil && e.usable(now) {
 			switch waiting := len(s.queues[e.Service]); {
 			case waiting > 0:
-				d.Requests, d.Value = min(waiting, maxRestrictedDemand), r.value
+				d.Requests, d.Urgency = min(waiting, maxRestrictedDemand), r.urgency
 			case now < r.lastQueued+activeTime:
 				d.Requests = 1
 			}
@@ -89,7 +89,7 @@
 	}
 	d := &restrictedDemand{lastQueued: now}
 	if len(queue) > 0 {
-		d.value = min(s.valueDensity(now, queue[0], p), math.MaxFloat64)
+		d.urgency = s.urgency(now, queue[0], p)
 	}
 	s.restricted[service] = d
 }
--- a/coord/scheduler/places.go
+++ b/coord/scheduler/places.go
@@ -23,10 +23,10 @@
 	fullCost = 0.5
 )
 
-// want is how many places at an endpoint this entry asks for, and the value of the first request.
+// want is how many places at an endpoint this entry asks for, and the urgency of the first request.
 type want struct {
-	count int
-	value float64
+	count   int
+	urgency float64
 }
 
 // SetPlaces sets what gives out the places of model engines; nil = each entry places by itself.
@@ -45,7 +45,7 @@
 		if len(s.queues[e.Service]) == 0 {
 			w = want{}
 		}
-		s.places.SetWanted(id, w.count, w.value)
+		s.places.SetWanted(id, w.count, w.urgency)
 	}
 }
 
@@ -83,10 +83,10 @@
 		delete(s.wants, c.endpoint.ID)
 	}
 	for _, r := range waiting[:min(len(waiting), askingRequests)] {
-		value := min(s.valueDensity(now, r, p), math.MaxFloat64)
+		urgency := s.urgency(now, r, p)
 		for _, c := range s.cheapestToAsk(now, r, p) {
 			w := s.wants[c.endpoint.ID]
-			s.wants[c.endpoint.ID] = want{count: w.count + 1, value: max(w.value, value)}
+			s.wants[c.endpoint.ID] = want{count: w.count + 1, urgency: max(w.urgency, urgency)}
 			c.asked++
 		}
 	}
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -270,17 +269,6 @@
 	return int(math.Ceil(float64(slots) * float64(own) / float64(total)))
 }
 
-// sortQueue sorts a queue by value per slot-second, highest first.
-func (s *Scheduler) sortQueue(now time.Duration, queue []*Request, p *pool) {
-	keys := make(map[uint64]float64, len(queue))
-	for _, r := range queue {
-		keys[r.ID] = s.valueDensity(now, r, p)
-	}
-	slices.SortStableFunc(queue, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(keys[b.ID], keys[a.ID]), cmp.Compare(a.Arrived, b.Arrived))
-	})
-}
-
 // valueDensity returns the value of a request per slot-second.
 func (s *Scheduler) valueDensity(now time.Duration, r *Request, p *pool) float64 {
 	if r.StreamStarted {
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -9,8 +9,9 @@
 // in proportion to its share of the total demand, so that a failure domain with few
 // entries does not refuse requests that another one would serve.
 //
-// A backlog is ordered by value per slot-second: the priority of a request, its size,
-// and whether it can still be on time. After a burst many requests are already late;
+// A backlog is ordered by rank: the priority of the client account, then that of the
+// request's class. Requests of equal rank go by value per slot-second: their size, and
+// whether they can still be on time. After a burst many requests are already late;
 // serving them in order of arrival would make every later one late too.
 //
 // The prefill of a long prompt delays the tokens of all other requests at the same
@@ -22,10 +23,7 @@
 // the caller chooses.
 package scheduler
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Request is a request that waits for an endpoint.
 type Request struct {
@@ -76,14 +74,12 @@
 // Value of an answer by its size, as the platform's users state it: a base and a part
 // in proportion to the size relative to the mean of the class, bounded.
 const (
-	baseValue           = 0.3
-	sizeValue           = 0.7
-	maxSizeRatio        = 4.0
-	outputTokenWeight   = 10.0 // size of an output token relative to a prompt token
-	priorityBase        = 2.0  // factor between the values of neighbouring priorities
-	accountPriorityBase = 4.0  // factor between the values of neighbouring account priorities
-	lateValue           = 0.29 // value of a late answer relative to one on time
-	retriedValue        = 0.6  // the same for a retried request: it is late, but should not be refused again
+	baseValue         = 0.3
+	sizeValue         = 0.7
+	maxSizeRatio      = 4.0
+	outputTokenWeight = 10.0 // size of an output token relative to a prompt token
+	lateValue         = 0.29 // value of a late answer relative to one on time
+	retriedValue      = 0.6  // the same for a retried request: it is late, but should not be refused again
 )
 
 // size measures a generation: prompt tokens plus weighted output tokens.
@@ -93,12 +89,11 @@
 
 // value returns the value of an answer on time, in units of size.
 func (r *Request) value(meanSize float64) float64 {
-	weight := math.Pow(priorityBase, -float64(r.Priority)) * math.Pow(accountPriorityBase, -float64(r.AccountPriority))
 	if meanSize <= 0 {
-		return weight
+		return 1
 	}
 	ratio := min(r.size()/meanSize, maxSizeRatio)
-	return weight * meanSize * (baseValue + sizeValue*ratio)
+	return meanSize * (baseValue + sizeValue*ratio)
 }
 
 // Placement is the decision to send a request to an endpoint.
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -61,29 +61,31 @@
 
 // Scheduler holds the state of one entry. It must be used by one goroutine only.
 type Scheduler struct {
-	cfg            Config
-	rng            *rand.Rand
-	self           string   // name of this entry
-	entries        []string // names of all entries, sorted by hash
-	endpoints      map[string]*endpoint
-	byService      map[string][]*endpoint // sorted by ID; nil = to be rebuilt
-	parts          map[string]endpointParts
-	services       map[string]ServiceInfo
-	runs           map[uint64]*run       // by request ID
-	queues         map[string][]*Request // waiting requests by service
-	meanSizes      map[classKey]float64
-	peers          peers
-	biases         map[string]*bias     // by service
-	refusalRates   map[classKey]float64 // share of recent requests that were refused
-	placementRates map[classKey]*placementRates
-	refusedWork    map[string]*refusedWork // by service
-	gate           Gate
-	restricted     map[string]*restrictedDemand // by service with restricted endpoints
-	pacers         map[string]*pacer            // by plain service
-	places         *places.Places               // of model engines; nil = none
-	wants          map[string]want              // places to ask for, by endpoint
-	withheldSince  time.Duration                // when Withhold was first called since the last Plan, if withheld
-	withheld       bool
+	cfg              Config
+	rng              *rand.Rand
+	self             string   // name of this entry
+	entries          []string // names of all entries, sorted by hash
+	endpoints        map[string]*endpoint
+	byService        map[string][]*endpoint // sorted by ID; nil = to be rebuilt
+	parts            map[string]endpointParts
+	services         map[string]ServiceInfo
+	runs             map[uint64]*run       // by request ID
+	queues           map[string][]*Request // waiting requests by service
+	meanSizes        map[classKey]float64
+	peers            peers
+	biases           map[string]*bias     // by service
+	refusalRates     map[classKey]float64 // share of recent requests that were refused
+	placementRates   map[classKey]*placementRates
+	placedShares     map[rank]float64        // share of recent decisions that were placements, by rank
+	placedShareOfAll map[string]float64      // the same of all ranks, by service
+	refusedWork      map[string]*refusedWork // by service
+	gate             Gate
+	restricted       map[string]*restrictedDemand // by service with restricted endpoints
+	pacers           map[string]*pacer            // by plain service
+	places           *places.Places               // of model engines; nil = none
+	wants            map[string]want              // places to ask for, by endpoint
+	withheldSince    time.Duration                // when Withhold was first called since the last Plan, if withheld
+	withheld         bool
 }
 
 // classKey identifies a class of requests of a service.
@@ -97,7 +99,7 @@
 	return &Scheduler{
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
-		queues: map[string][]*Request{}, meanSizes: map[classKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refusalRates: map[classKey]float64{}, placementRates: map[classKey]*placementRates{}, refusedWork: map[string]*refusedWork{},
+		queues: map[string][]*Request{}, meanSizes: map[classKey]float64{}, peers: newPeers(), biases: map[string]*bias{}, refusalRates: map[classKey]float64{}, placementRates: map[classKey]*placementRates{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
 		pacers: map[string]*pacer{}, wants: map[string]want{}, parts: map[string]endpointParts{},
 		gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
@@ -333,6 +335,7 @@
 	if refused {
 		sample = 1
 	}
+	s.observeRank(r, !refused)
 	s.refusalRates[key] += refusalRateGain * (sample - s.refusalRates[key])
 	s.placementRatesOf(key).observe(sizeClassOf(r.size(), s.meanSizes[key]), !refused)
 }
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -111,6 +111,35 @@
 	g.Expect(first).To(HaveKey(uint64(3)))
 }
 
+// A higher rank is never shed while a lower one is served. A request of a lower rank that needs little
+// work must not go first for that.
+func TestALowerRankDoesNotGoFirstForLittleWork(t *testing.T) {
+	for name, lower := range map[string]func(*scheduler.Request){
+		"lower class":          func(r *scheduler.Request) { r.Priority = 1 },
+		"lower client account": func(r *scheduler.Request) { r.AccountPriority = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newScheduler(engineEndpoint("a"))
+			fillEndpoint(s, 0, "a")
+			small, large := streamRequest(1, 0), streamRequest(2, 0)
+			small.PromptTokens, small.OutputTokens = 100, 6
+			large.PromptTokens, large.OutputTokens = 20_000, 600
+			lower(&small)
+			s.Enqueue(small)
+			s.Enqueue(large)
+			s.Plan(0)
+			s.SetPeerReport(10*ms, "other", scheduler.Report{Loads: map[string]scheduler.Load{"a": {Running: 1}}})
+			g.Expect(placements(s.Plan(10 * ms))).To(Equal(map[uint64]string{2: "a"}))
+		})
+	}
+}
+
+// fillEndpoint makes another entry use all slots of an endpoint.
+func fillEndpoint(s *scheduler.Scheduler, now time.Duration, id string) {
+	s.SetPeerReport(now, "other", scheduler.Report{Loads: map[string]scheduler.Load{id: {Running: 2}}})
+}
+
 // After a burst the queue is full of late requests. Serving them in order of arrival
 // would make all later requests late as well.
 func TestOnTimeRequestIsPlacedBeforeLateOnes(t *testing.T) {
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -133,6 +133,14 @@
 	return float64(counts[2]) / float64(counts[0])
 }
 
+// expectServedByRank checks that of no kind a smaller share is served than of a less urgent one.
+func (o outcome) expectServedByRank(g Gomega, kinds []requestKind) {
+	for i, lower := range kinds[1:] {
+		higher := kinds[i]
+		g.Expect(o.servedShareOf(higher.name)).To(BeNumerically(">=", o.servedShareOf(lower.name)-0.02), "%s is refused while %s is served", higher.name, lower.name)
+	}
+}
+
 const (
 	simTick            = 5 * ms
 	simLength          = 24 * time.Second
@@ -466,7 +474,8 @@
 
 // The heaviest load of the users' deployments: two bursts that exceed the capacity of
 // the engines, engines of different speed, and a failure domain with one front instead
-// of two. No kind starves, and hardly any work is thrown away.
+// of two. Callers of a higher rank are served first, no kind starves, and hardly any work is
+// thrown away.
 func TestSchedulerServesMoreThanLeastInFlightDuringBursts(t *testing.T) {
 	g := NewWithT(t)
 	for seed := int64(1); seed <= 3; seed++ {
@@ -476,6 +485,7 @@
 		t.Logf("seed %d, scheduler: served %.3f wasted %.3f %v", seed, own.servedShare(), own.wastedShare(), own.byKind)
 		g.Expect(own.servedShare()).To(BeNumerically(">=", baseline.servedShare()), "as many requests served")
 		g.Expect(own.wastedShare()).To(BeNumerically("<=", baseline.wastedShare()+0.01), "no more work thrown away")
+		own.expectServedByRank(g, kinds)
 		for _, k := range kinds {
 			g.Expect(own.servedShareOf(k.name)).To(BeNumerically(">", 0.25*own.servedShare()), "no kind starves: "+k.name)
 		}
--- a/daemon/front/limits.go
+++ b/daemon/front/limits.go
@@ -155,7 +155,7 @@
 // stepLimits asks for the permits that are needed, and grants those that this entry is asked for.
 func (c *control) stepLimits(now time.Duration) {
 	for _, d := range c.scheduler.RestrictedDemand(now, c.sendLimits.Limited()) {
-		c.sendLimits.SetDemand(d.Endpoint, d.Requests, d.Value)
+		c.sendLimits.SetDemand(d.Endpoint, d.Requests, d.Urgency)
 	}
 	effects := c.sendLimits.Step(now)
 	for _, a := range effects.Asks {
