front: a short deadline isn't taken for a sign of an earlier try

What callers saw: one that stated less than 0.82 of its route's timeout was taken for one that had tried before. Its target latency was moved into the past by the difference, and it was queued, refused and placed as a repeat.

Cause: callers state the time that they have left, so the front guessed from it who repeats.

Change: the guess is gone, and with it before_ms in the log line request_ended. The deadline says how much time is left, and nothing else.

TestAShortDeadlineTellsNothingButTheTimeLeft failed before: of two requests alike but for the deadline, one was Retried and due 6 s before it came.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -241,7 +241,7 @@
 	e := d.front.log.Info().Str("request_id", d.call.ID).Str("outcome", string(o)).Str("route", route).
 		Int("sends", d.sends).Str("endpoint", d.lastEndpoint).
 		Int("prompt_tokens", d.call.PromptTokens).Int("output_hint", d.call.OutputHint).
-		Int64("before_ms", d.priorWait.Milliseconds()).Int64("queued_ms", d.queuedTime.Milliseconds()).Int64("total_ms", spent.Milliseconds())
+		Int64("queued_ms", d.queuedTime.Milliseconds()).Int64("total_ms", spent.Milliseconds())
 	if d.admission.Account != nil {
 		e = e.Str("account", d.admission.Account.Name).Float64("charged", d.charged.cost)
 	}
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -61,7 +61,6 @@
 	attemptSentAt       time.Duration   // when the current attempt was sent; 0 = not yet
 	lastEventAt         time.Duration   // when the caller was sent the last event
 	longestGap          time.Duration   // between two events
-	priorWait           time.Duration   // how long the caller had tried before this request
 }
 
 // serveCaller handles one request of a caller.
@@ -322,9 +321,8 @@
 	if r.OutputTokens == 0 {
 		r.OutputTokens = int(expectedOutputShare * float64(d.call.MaxOutputTokens))
 	}
-	d.priorWait = d.waitBeforeArrival()
-	r.Retried = d.priorWait > 0 || d.placements > 1
-	r.Due = d.arrived + route.TargetLatency - d.priorWait
+	r.Retried = d.placements > 1
+	r.Due = d.arrived + route.TargetLatency
 	if r.Stream {
 		r.EventTimeout = max(minEventTimeout, eventTimeoutTargetLatencies*route.TargetLatency, eventTimeoutTargetGaps*route.GapTarget)
 		r.StreamStarted = d.streamStarted
@@ -333,20 +331,6 @@
 	return r
 }
 
-// retriedDeadlineShare is the fraction of a route's timeout below which a deadline
-// shows that the caller tried before: callers state the time that they have left, and
-// their total times differ, so a deadline just below the timeout shows nothing.
-const retriedDeadlineShare = 0.82
-
-// waitBeforeArrival estimates how long the caller had tried before this request.
-func (d *delivery) waitBeforeArrival() time.Duration {
-	timeout := d.admission.Route.Timeout
-	if d.call.Deadline <= 0 || d.call.Deadline >= time.Duration(retriedDeadlineShare*float64(timeout)) {
-		return 0
-	}
-	return timeout - d.call.Deadline
-}
-
 // checkRetry ends the request if it may not be sent again after an attempt. An empty
 // outcome means that it may.
 func (d *delivery) checkRetry(result attemptResult) outcome {
