scheduler: a late request waits as long as its caller

What callers saw: a first try past its target latency was refused as soon as it was expected to wait 0.6 s more, though its caller would have waited 3 s and longer. A repeat in its place was kept until its caller left.

Cause: maxLateWait.

Change: how long a request may wait follows from its caller's time alone. Request.Retried is gone, which the front's own second placements set, too.

TestASecondPlacementIsQueuedLikeTheFirst (front) failed before.

--- a/coord/scheduler/desk_simulation_test.go
+++ b/coord/scheduler/desk_simulation_test.go
@@ -211,7 +211,7 @@
 	w.calls[c.id] = c
 	w.fronts[c.front].s.Enqueue(scheduler.Request{
 		ID: c.id, Service: "desk", Arrived: w.now, Due: c.firstSentAt + deskTarget,
-		NextByteDeadline: c.firstSentAt + deskDeadline, Deadline: c.firstSentAt + deskDeadline, Retried: c.retried,
+		NextByteDeadline: c.firstSentAt + deskDeadline, Deadline: c.firstSentAt + deskDeadline,
 	})
 	w.plan(c.front)
 }
--- a/coord/scheduler/order.go
+++ b/coord/scheduler/order.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// latestRefusal returns until when a request may wait: a refusal reaches its caller before that leaves.
+func (s *Scheduler) latestRefusal(r *Request) time.Duration {
+	return r.NextByteDeadline - s.cfg.RefuseMargin
+}
+
 // certainOutputShare is the part of the expected output that is taken for certain. Callers' estimates
 // are often far off, so a request is not refused for the whole of it.
 const certainOutputShare = 0.5
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -48,7 +48,7 @@
 		queue := s.queues[service]
 		for _, r := range queue {
 			held := now-max(r.Arrived, s.withheldSince) > maxWait && !r.StreamStarted
-			if !held && now < r.NextByteDeadline-s.cfg.RefuseMargin {
+			if !held && now < s.latestRefusal(r) {
 				left = append(left, r)
 				continue
 			}
@@ -148,7 +148,7 @@
 	s.sortQueue(now, queue, p)
 	var left []*Request
 	for _, r := range queue {
-		if now >= r.NextByteDeadline-s.cfg.RefuseMargin {
+		if now >= s.latestRefusal(r) {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonWaited, p, len(queue)))
 			continue
 		}
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	// maxLateWait is the longest expected wait at which a request that is already late stays queued.
-	maxLateWait = 600 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which a refused request
 	// should be sent again.
 	minRetryAfter = 300 * time.Millisecond
@@ -25,7 +23,7 @@
 	ahead := 0.0 // slot-seconds of the requests before
 	var left []*Request
 	for _, r := range queue {
-		if end, resting := p.restEnd(); resting && end > s.longestWait(now, r) && !r.StreamStarted {
+		if end, resting := p.restEnd(); resting && end > s.latestRefusal(r) && !r.StreamStarted {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
 			continue
 		}
@@ -34,7 +32,7 @@
 			before += s.slotTime(r, p) // the rate allows none now
 		}
 		wait := time.Duration(before / s.usableSlots(r, p) * float64(time.Second))
-		if len(p.candidates) > 0 && !r.StreamStarted && now+wait > s.longestWait(now, r) {
+		if len(p.candidates) > 0 && !r.StreamStarted && now+wait > s.latestRefusal(r) {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
 			continue
 		}
@@ -44,17 +42,6 @@
 	return left
 }
 
-// longestWait returns the time until which a request may wait to be started. A late one that
-// was never refused may wait only for a short time: it is better refused early, since it
-// gets a higher value when it is retried, than queued for long and refused in the end.
-func (s *Scheduler) longestWait(now time.Duration, r *Request) time.Duration {
-	latest := r.NextByteDeadline - s.cfg.RefuseMargin
-	if !r.Retried && now > r.Due {
-		latest = min(latest, now+maxLateWait)
-	}
-	return latest
-}
-
 // refuse refuses a request until the backlog is expected to be worked off. The times
 // are jittered, so that requests refused together are not retried together.
 func (s *Scheduler) refuse(now time.Duration, r *Request, reason Reason, p *pool, queued int) Refusal {
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -55,8 +55,6 @@
 	NextByteDeadline time.Duration
 	// Deadline is the time until which the caller waits for the end of the answer.
 	Deadline time.Duration
-	// Retried tells that the request was refused before and was sent again.
-	Retried bool
 	// Repeatable tells that the request may be sent again after it has run.
 	Repeatable bool
 	// Avoid holds the IDs of endpoints to which the request was sent before.
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -453,7 +453,7 @@
 	o.s.Enqueue(scheduler.Request{
 		ID: c.id, Service: "model", Priority: c.kind.priority, Stream: true,
 		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, Due: c.firstSentAt + c.kind.target, GapTarget: 400 * ms,
-		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline, Retried: c.retried,
+		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline,
 	})
 }
 
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -321,7 +321,6 @@
 	if r.OutputTokens == 0 {
 		r.OutputTokens = int(expectedOutputShare * float64(d.call.MaxOutputTokens))
 	}
-	r.Retried = d.placements > 1
 	r.Due = d.arrived + route.TargetLatency
 	if r.Stream {
 		r.EventTimeout = max(minEventTimeout, eventTimeoutTargetLatencies*route.TargetLatency, eventTimeoutTargetGaps*route.GapTarget)
--- a/daemon/front/request_test.go
+++ b/daemon/front/request_test.go
@@ -37,3 +37,12 @@
 	g.Expect(withoutTimes(short.schedulerRequest())).To(Equal(withoutTimes(long.schedulerRequest())))
 	g.Expect(short.schedulerRequest().Deadline).To(Equal(5 * time.Second))
 }
+
+// A request that is placed once more, since its endpoint failed, waits and is refused like any other.
+func TestASecondPlacementIsQueuedLikeTheFirst(t *testing.T) {
+	g := NewWithT(t)
+	d := streamDelivery(t, 10*time.Second)
+	first := d.schedulerRequest()
+	d.placements = 2
+	g.Expect(withoutTimes(d.schedulerRequest())).To(Equal(withoutTimes(first)))
+}
