scheduler: who has waited for a plain service uses the next credit

What callers saw: past its target latency, a booking or look-up was started only when its entry had saved up 1.2 runs more than for a fresh one, or its account was as good as full. It waited though a slot's share was there for it.

Cause: lateReserve.

Change: the account allows a run or not, whoever waits. Who is first is decided by the queue.

--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -62,3 +62,24 @@
 	}
 	return m
 }
+
+// An entry whose share of a plain service is less than one slot saves up for its runs. A caller that has
+// waited gets the next one, not a caller that may come later.
+func TestWhoHasWaitedForAPlainServiceUsesTheNextCredit(t *testing.T) {
+	g := NewWithT(t)
+	waited := func(since time.Duration) time.Duration {
+		s := newScheduler(deskEndpoint("a"))
+		r := plainRequest(1, 0)
+		r.Arrived, r.NextByteDeadline, r.Deadline = since, since+time.Second, since+time.Second
+		s.Enqueue(r)
+		for now := since; now < since+time.Second; now += 5 * ms {
+			// The others have most of the demand, so that this entry's share is small.
+			s.SetPeerReport(now, "other", scheduler.Report{Demand: map[string]int{"desk": 20}, Arrivals: map[string]float64{"desk": 20}, TTL: time.Minute})
+			if len(s.Plan(now).Placements) > 0 {
+				return now - since
+			}
+		}
+		return time.Second
+	}
+	g.Expect(waited(300*ms)).To(Equal(waited(0)), "the same credit is needed")
+}
--- a/coord/scheduler/pace.go
+++ b/coord/scheduler/pace.go
@@ -85,25 +85,13 @@
 	p.credit = min(max(p.credit, -maxPacedDebt*work), maxPacedCredit*work)
 }
 
-// allows reports whether the entry may start one more run. For a request that is late already
-// there must be more credit left, since one that can be on time may come next; the account is
-// not left full for it.
-func (p *pacer) allows(work float64, late bool) bool {
-	needed := float64(p.running+1) - p.share
-	if late {
-		needed = max(needed, min(needed+lateReserve, fullCredit))
-	}
-	return p.credit/work >= needed-pacedRounding
+// allows reports whether the entry may start one more run.
+func (p *pacer) allows(work float64) bool {
+	return p.credit/work >= float64(p.running+1)-p.share-pacedRounding
 }
 
-const (
-	// lateReserve is the credit, in runs, that a late request leaves.
-	lateReserve = 1.2
-	// fullCredit is the credit, in runs, of an account that is as good as full.
-	fullCredit = maxPacedCredit - 0.02
-	// pacedRounding keeps a share that is a whole number of slots usable in full.
-	pacedRounding = 1e-6
-)
+// pacedRounding keeps a share that is a whole number of slots usable in full.
+const pacedRounding = 1e-6
 
 // pace sets this entry's share of a plain service's slots.
 func (s *Scheduler) pace(now time.Duration, service string, p *pool) {
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -10,9 +10,6 @@
 	// betterEndpointWaitShare is the part of the time between a request's arrival and
 	// its due time in which it may wait for a better endpoint.
 	betterEndpointWaitShare = 0.35
-	// punctualityMargin is how long, in usual times of a run, a plain request is assumed to take
-	// when it is decided whether it can still be on time.
-	punctualityMargin = 1.2
 	// betterEndpointMinGain is how much lower, in seconds, the cost of an endpoint
 	// without a free slot must be for a request to wait for it.
 	betterEndpointMinGain = 0.8
@@ -281,9 +278,9 @@
 }
 
 // mayStart reports whether this entry may start one more run.
-func (p *pool) mayStart(now time.Duration, r *Request) bool {
+func (p *pool) mayStart() bool {
 	if p.pacer != nil {
-		return p.pacer.allows(p.serviceTime, now.Seconds()+punctualityMargin*p.serviceTime > r.Due.Seconds())
+		return p.pacer.allows(p.serviceTime)
 	}
 	return p.ownRunning < p.ownLimit
 }
@@ -291,7 +288,7 @@
 // chooseEndpoint returns the endpoint with the lowest expected cost, and that cost. It
 // returns nil where the request should wait.
 func (s *Scheduler) chooseEndpoint(now time.Duration, r *Request, p *pool) (*candidate, float64) {
-	mayStart := p.mayStart(now, r) || r.StreamStarted
+	mayStart := p.mayStart() || r.StreamStarted
 	if p.openCandidates == 0 || !mayStart && !p.homes {
 		return nil, 0
 	}
