scheduler: a request is refused a tenth of a second before its caller leaves

What callers saw: a request that could still have been answered was refused a quarter of a second before its caller left; of a booking's second that is a quarter, for 15 ms of work.

Cause: RefuseMargin had no reason but a figure.

Change: 100 ms.

--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -19,14 +19,16 @@
 	// hides the delay between a slot becoming free and the next request arriving there,
 	// but assigns requests to endpoints earlier.
 	Overcommit int
-	// RefuseMargin is how long before its caller stops waiting a request is refused.
+	// RefuseMargin is how long before its caller stops waiting a request is refused, so that the
+	// refusal reaches it: the way, and the time for which a process may be held up that has used up
+	// its share of a core.
 	RefuseMargin time.Duration
 }
 
 // Defaults of Config.
 const (
 	DefaultReportTTL    = time.Second
-	DefaultRefuseMargin = 250 * time.Millisecond
+	DefaultRefuseMargin = 100 * time.Millisecond
 )
 
 // ServiceInfo is the configuration of a service.
