scheduler: waits and refusals follow from the work that is left

What callers saw: a request was kept or refused as if its answer took no time. One whose prompt alone takes longer than its caller waits was queued to the end; a run was begun at a slow endpoint that its caller was sure to cut; and one long request at the head of the queue had those behind it refused, though other slots would have been free for them.

Cause: the wait allowed was the caller's time alone. The expected wait was the sum of all work ahead over the slots, as if one request could use all of them. An estimate of output beyond the caller's own maximum was believed.

Change: - latestStart is the caller's time less the work at the fastest endpoint. What can't be answered any more is refused at once, or tried where a slot is free, since estimates come from what ran. - A request isn't begun at an endpoint that can't answer in time while another can. - The backlog is laid out over the slots, each taking the next request when free. - Of equal rank, one start in four goes to the request with the least work, the others to the one that has to start soonest: fewer callers are left without answer, and those with much work keep their turn. - The front bounds the estimate by the caller's maximum.

Failed before: TestWhatCannotBeAnsweredInTimeIsRefusedAtOnce, TestALongRequestHoldsUpOneSlotOfTheBacklog, TestNoRunIsBegunThatItsCallerWouldCut, TestTheExpectedOutputIsBoundedByTheCallersMaximum (front).

--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/scheduler"
 )
 
@@ -83,3 +84,82 @@
 	}
 	g.Expect(waited(300*ms)).To(Equal(waited(0)), "the same credit is needed")
 }
+
+// A request whose answer can't come before its caller leaves is refused at once, so that the caller can
+// go elsewhere, and one that can is not. What counts is the time left and the work left.
+func TestWhatCannotBeAnsweredInTimeIsRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		output           int
+		deadline         time.Duration
+		refused          bool
+		promptTokens     int
+		nextByteDeadline time.Duration
+	}{
+		{"fits", 600, 4 * time.Second, false, 600, 3200 * ms},
+		{"half of the output takes 2.5 s", 1200, 2400 * ms, true, 600, 2400 * ms},
+		{"the prompt takes 1 s", 6, 12 * time.Second, true, 48_000, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newScheduler(engineEndpoint("a"))
+			fillEndpoint(s, 0, "a")
+			r := streamRequest(1, 0)
+			r.PromptTokens, r.OutputTokens, r.Deadline, r.NextByteDeadline = c.promptTokens, c.output, c.deadline, c.nextByteDeadline
+			s.Enqueue(r)
+			g.Expect(refusals(s.Plan(0))).To(HaveLen(map[bool]int{true: 1}[c.refused]))
+		})
+	}
+}
+
+// Many short requests behind one long request start at the other slots.
+func TestALongRequestHoldsUpOneSlotOfTheBacklog(t *testing.T) {
+	g := NewWithT(t)
+	rows := []directory.Endpoint{engineEndpoint("a"), engineEndpoint("b"), engineEndpoint("c"), engineEndpoint("d")}
+	s := newScheduler(rows...)
+	loads := map[string]scheduler.Load{}
+	for _, row := range rows {
+		loads[row.ID] = scheduler.Load{Running: 2}
+	}
+	s.SetPeerReport(0, "other", scheduler.Report{Loads: loads})
+	long := streamRequest(1, 0)
+	long.OutputTokens, long.Deadline = 6000, time.Minute // 25 s at one slot
+	long.Priority = 0
+	s.Enqueue(long)
+	short := streamRequest(2, 0)
+	short.Priority, short.OutputTokens = 1, 6
+	s.Enqueue(short)
+	g.Expect(s.Plan(0).Refusals).To(BeEmpty())
+}
+
+// While a faster endpoint can still answer in time, a run that would be cut is not begun at a slow one.
+func TestNoRunIsBegunThatItsCallerWouldCut(t *testing.T) {
+	g := NewWithT(t)
+	s := newScheduler()
+	for id, interval := range map[string]time.Duration{"fast": 11 * ms, "slow": 57 * ms} {
+		other := engineEndpoint(map[string]string{"fast": "slow", "slow": "fast"}[id])
+		other.Draining = true
+		s.SetEndpoints([]directory.Endpoint{engineEndpoint(id), other})
+		s.Enqueue(streamRequest(1000, 0))
+		g.Expect(placements(s.Plan(0))).To(Equal(map[uint64]string{1000: id}))
+		s.FirstEvent(10*ms, 1000)
+		for range 20 {
+			s.Progress(20*ms, 1000, interval)
+		}
+		s.Done(30*ms, 1000, scheduler.Answered)
+	}
+	s.SetEndpoints([]directory.Endpoint{engineEndpoint("fast"), engineEndpoint("slow")})
+	now := 10 * time.Second
+	fillEndpoint(s, now, "fast")
+	r := streamRequest(1, now)
+	r.OutputTokens, r.Deadline = 600, now+2*time.Second // half of it takes 0.6 s, or 2.9 s
+	s.Enqueue(r)
+	for ; now < 10*time.Second+800*ms; now += 50 * ms {
+		fillEndpoint(s, now, "fast")
+		plan := s.Plan(now)
+		g.Expect(plan.Placements).To(BeEmpty())
+		g.Expect(plan.Refusals).To(BeEmpty())
+	}
+	s.SetPeerReport(now, "other", scheduler.Report{})
+	g.Expect(placements(s.Plan(now))).To(Equal(map[uint64]string{1: "fast"}))
+}
--- a/coord/scheduler/order.go
+++ b/coord/scheduler/order.go
@@ -16,6 +16,10 @@
 // are often far off, so a request is not refused for the whole of it.
 const certainOutputShare = 0.5
 
+// firstEventMargin is the multiple of the expected time to the first event after which it has mostly
+// come.
+const firstEventMargin = 1.5
+
 // latestStart returns until when a request may be started: at the fastest endpoint its first byte and
 // its end can still come before the caller leaves.
 func (s *Scheduler) latestStart(r *Request, p *pool) time.Duration {
@@ -35,6 +39,19 @@
 	return time.Duration(prefill * float64(time.Second)), time.Duration((prefill + generation) * float64(time.Second))
 }
 
+// canAnswer reports whether an endpoint can answer a request before its caller leaves. While another
+// one can, work that would be thrown away is not begun.
+func (s *Scheduler) canAnswer(now time.Duration, r *Request, c *candidate) bool {
+	if !s.services[r.Service].Engine {
+		return true
+	}
+	interval := c.leastEventInterval()
+	first := now.Seconds() + firstEventMargin*c.firstEvent(r)*interval/c.eventInterval
+	generation := certainOutputShare * float64(r.OutputTokens) * s.tokenInterval(r.Service, interval)
+	margin := s.cfg.RefuseMargin.Seconds()
+	return first <= r.NextByteDeadline.Seconds()-margin && first+generation <= r.Deadline.Seconds()-margin
+}
+
 // rank is what requests of a service are ordered by first.
 type rank struct {
 	service                   string
@@ -78,24 +95,85 @@
 	return ok && ofRank < minRankShare*s.placedShareOfAll[r.Service]
 }
 
-// sortQueue sorts a queue into the order in which its requests are started.
-func (s *Scheduler) sortQueue(now time.Duration, queue []*Request, p *pool) {
-	starts := make(map[uint64]time.Duration, len(queue))
+// leastWorkTurn is in how many starts of equal rank one goes to the request with the least work. Fewer
+// would leave callers unanswered who need little; more would starve those who need much.
+const leastWorkTurn = 4
+
+// order compares the requests of a queue during one plan.
+type order struct {
+	s            *Scheduler
+	now          time.Duration
+	latestStarts map[uint64]time.Duration
+	work         map[uint64]float64 // expected slot-seconds
+}
+
+func (s *Scheduler) newOrder(now time.Duration, queue []*Request, p *pool) order {
+	o := order{s: s, now: now, latestStarts: make(map[uint64]time.Duration, len(queue)), work: make(map[uint64]float64, len(queue))}
 	for _, r := range queue {
-		starts[r.ID] = s.latestStart(r, p)
+		o.latestStarts[r.ID], o.work[r.ID] = s.latestStart(r, p), s.slotTime(r, p)
 	}
+	return o
+}
+
+// tooLate reports whether a request can't be answered before its caller leaves.
+func (o order) tooLate(r *Request) bool {
+	return o.now > o.latestStarts[r.ID]
+}
+
+// byRank compares two requests by what goes before the time and work that they have left.
+func (o order) byRank(a, b *Request) int {
+	return cmp.Or(
+		compareBool(b.StreamStarted, a.StreamStarted),
+		compareBool(o.tooLate(a), o.tooLate(b)),
+		compareBool(o.s.isStarving(b), o.s.isStarving(a)),
+		cmp.Compare(a.AccountPriority, b.AccountPriority),
+		cmp.Compare(a.Priority, b.Priority),
+	)
+}
+
+// sortByStart sorts requests by rank and the time until which they can be started.
+func (o order) sortByStart(queue []*Request) {
 	slices.SortStableFunc(queue, func(a, b *Request) int {
-		return cmp.Or(
-			compareBool(b.StreamStarted, a.StreamStarted),
-			compareBool(s.isStarving(b), s.isStarving(a)),
-			cmp.Compare(a.AccountPriority, b.AccountPriority),
-			cmp.Compare(a.Priority, b.Priority),
-			cmp.Compare(starts[a.ID], starts[b.ID]),
-			cmp.Compare(a.Arrived, b.Arrived),
-		)
+		return cmp.Or(o.byRank(a, b), cmp.Compare(o.latestStarts[a.ID], o.latestStarts[b.ID]), cmp.Compare(a.Arrived, b.Arrived))
 	})
 }
 
+// sort sorts requests into the order in which they are started. Of equal rank, those that have to be
+// started soonest and those with the least work take turns: the ones keep a caller with much work from
+// waiting in vain, the others let the same engines answer more callers.
+func (o order) sort(queue []*Request) {
+	o.sortByStart(queue)
+	for len(queue) > 0 {
+		equal := 1
+		for equal < len(queue) && o.byRank(queue[0], queue[equal]) == 0 {
+			equal++
+		}
+		o.interleave(queue[:equal])
+		queue = queue[equal:]
+	}
+}
+
+// interleave reorders requests that are sorted by their latest start: in each leastWorkTurn, one is that
+// with the least work of those left.
+func (o order) interleave(byStart []*Request) {
+	waiting := slices.Clone(byStart)
+	byWork := slices.Clone(byStart)
+	slices.SortStableFunc(byWork, func(a, b *Request) int { return cmp.Compare(o.work[a.ID], o.work[b.ID]) })
+	taken := make(map[uint64]bool, len(byStart))
+	started := o.s.started[byStart[0].Service]
+	for i := range byStart {
+		list := &waiting
+		if (started+i)%leastWorkTurn == leastWorkTurn-1 {
+			list = &byWork
+		}
+		for taken[(*list)[0].ID] {
+			*list = (*list)[1:]
+		}
+		byStart[i] = (*list)[0]
+		taken[byStart[i].ID] = true
+	}
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
@@ -113,10 +191,13 @@
 // urgency returns a positive number by which waiting requests of several entries are compared, whose
 // clocks differ. Higher goes first: by rank, then by the time left until the latest start.
 func (s *Scheduler) urgency(now time.Duration, r *Request, p *pool) float64 {
-	if r.StreamStarted {
+	left := (s.latestStart(r, p) - now).Seconds()
+	switch {
+	case r.StreamStarted:
 		return math.MaxFloat64
+	case left < 0:
+		return math.SmallestNonzeroFloat64
 	}
-	left := max((s.latestStart(r, p) - now).Seconds(), 0)
 	const ranks = (maxComparedPriority + 1) * (maxComparedPriority + 1)
 	if s.isStarving(r) {
 		return ranks + 1 + 1/(1+left)
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -142,7 +142,8 @@
 func (s *Scheduler) planService(now time.Duration, service string, plan *Plan) {
 	queue := s.queues[service]
 	p := s.pool(now, service)
-	s.sortQueue(now, queue, p)
+	order := s.newOrder(now, queue, p)
+	order.sort(queue)
 	var left []*Request
 	for _, r := range queue {
 		if now >= s.latestRefusal(r) {
@@ -161,6 +162,7 @@
 		plan.Placements = append(plan.Placements, s.place(now, r, c, cost, p))
 	}
 	p.closed = len(p.candidates) > 0 && !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return c.open })
+	order.sortByStart(left)
 	s.queues[service] = s.refuseBacklog(now, left, p, plan)
 	if p.homes {
 		s.askForPlaces(now, service, s.queues[service], p)
@@ -231,15 +233,20 @@
 	return p
 }
 
-// observeBest takes a candidate into account for what the fastest one can do. One without samples
-// may be as fast as is assumed before any.
+// observeBest takes a candidate into account for what the fastest one can do.
 func (p *pool) observeBest(c *candidate) {
-	interval, rate := c.eventInterval, c.promptRate
+	interval := c.leastEventInterval()
+	p.bestEventInterval = min(p.bestEventInterval, interval)
+	p.bestPromptRate = max(p.bestPromptRate, c.promptRate*c.eventInterval/interval)
+}
+
+// leastEventInterval returns the least time between events, in seconds. A candidate without samples
+// may be as fast as is assumed before any.
+func (c *candidate) leastEventInterval() float64 {
 	if c.endpoint.eventInterval == 0 {
-		interval = min(interval, defaultEventInterval.Seconds())
-		rate = max(rate, defaultPromptTokensPerEvent/defaultEventInterval.Seconds())
+		return min(c.eventInterval, defaultEventInterval.Seconds())
 	}
-	p.bestEventInterval, p.bestPromptRate = min(p.bestEventInterval, interval), max(p.bestPromptRate, rate)
+	return c.eventInterval
 }
 
 func (c *candidate) estimate(p *pool) {
@@ -296,7 +303,11 @@
 	lowest, lowestFull := math.Inf(1), math.Inf(1)
 	allAvoided := !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) })
 	suitable := make([]*candidate, 0, len(p.candidates))
+	mustFit := now <= s.latestStart(r, p) && !r.StreamStarted
 	for _, c := range p.candidates {
+		if mustFit && !s.canAnswer(now, r, c) {
+			continue
+		}
 		if (!r.Avoid[c.endpoint.ID] || allAvoided) && r.mayRunAt(c.endpoint) {
 			suitable = append(suitable, c)
 		}
@@ -331,6 +342,7 @@
 	if p.pacer != nil && p.pacer.share < float64(p.slots) {
 		placement.Share = p.pacer.share
 	}
+	s.started[r.Service]++
 	s.observeDecision(r, true)
 	s.runs[r.ID] = &run{request: *r, endpoint: c.endpoint, sentAt: now, lastByteAt: now, expectedFirstEvent: placement.ExpectedFirstEvent}
 	c.endpoint.runs[r.ID] = s.runs[r.ID]
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"container/heap"
 	"math"
 	"time"
 )
@@ -17,31 +18,65 @@
 	restRetrySpread = 0.25
 )
 
-// refuseBacklog refuses the requests that cannot be started before their callers stop
-// waiting, given the requests ahead of them in the queue. It returns the others.
+// refuseBacklog refuses the requests that cannot be started in time, given the requests ahead of
+// them in the queue. It returns the others.
 func (s *Scheduler) refuseBacklog(now time.Duration, queue []*Request, p *pool, plan *Plan) []*Request {
-	ahead := 0.0 // slot-seconds of the requests before
+	if len(queue) == 0 {
+		return nil
+	}
+	ahead := newBacklog(s.usableSlots(queue[0], p), len(queue))
 	var left []*Request
 	for _, r := range queue {
-		if end, resting := p.restEnd(); resting && end > s.latestRefusal(r) && !r.StreamStarted {
-			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
-			continue
-		}
-		before := ahead
+		work := s.slotTime(r, p)
+		wait := ahead.wait()
 		if p.closed {
-			before += s.slotTime(r, p) // the rate allows none now
+			wait += time.Duration(ahead.scale * work * float64(time.Second)) // the rate allows none now
 		}
-		wait := time.Duration(before / s.usableSlots(r, p) * float64(time.Second))
-		if len(p.candidates) > 0 && !r.StreamStarted && now+wait > s.latestRefusal(r) {
+		end, resting := p.restEnd()
+		tooLate := resting && end > s.latestStart(r, p) || len(p.candidates) > 0 && now+wait > s.latestStart(r, p)
+		if tooLate && !r.StreamStarted {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
 			continue
 		}
-		ahead += s.slotTime(r, p)
+		ahead.add(work)
 		left = append(left, r)
 	}
 	return left
 }
 
+// backlog is the work of queued requests on a number of slots, each of which takes the next request
+// when it is free. So a long request holds up those behind it at one slot only.
+type backlog struct {
+	freeAt slotTimes
+	scale  float64 // of a request's work, where the number of slots is not whole
+}
+
+// newBacklog returns the backlog of up to the given number of requests.
+func newBacklog(slots float64, requests int) backlog {
+	whole := max(math.Floor(slots), 1)
+	return backlog{freeAt: make(slotTimes, int(min(whole, float64(requests)))), scale: whole / slots}
+}
+
+// wait returns the time until the first slot is free.
+func (b *backlog) wait() time.Duration {
+	return time.Duration(b.freeAt[0] * float64(time.Second))
+}
+
+// add gives the first free slot the work of a request, in slot-seconds.
+func (b *backlog) add(work float64) {
+	b.freeAt[0] += b.scale * work
+	heap.Fix(&b.freeAt, 0)
+}
+
+// slotTimes is a heap of the times, in seconds from now, at which slots are free.
+type slotTimes []float64
+
+func (t slotTimes) Len() int           { return len(t) }
+func (t slotTimes) Less(i, j int) bool { return t[i] < t[j] }
+func (t slotTimes) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *slotTimes) Push(any)          {}
+func (t *slotTimes) Pop() any          { return nil }
+
 // refuse refuses a request until the backlog is expected to be worked off. The times
 // are jittered, so that requests refused together are not retried together.
 func (s *Scheduler) refuse(now time.Duration, r *Request, reason Reason, p *pool, queued int) Refusal {
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -75,6 +75,7 @@
 	queues           map[string][]*Request // waiting requests by service
 	peers            peers
 	biases           map[string]*bias        // by service
+	started          map[string]int          // placements, by service
 	placedShares     map[rank]float64        // share of recent decisions that were placements, by rank
 	placedShareOfAll map[string]float64      // the same of all ranks, by service
 	refusedWork      map[string]*refusedWork // by service
@@ -92,7 +93,7 @@
 	return &Scheduler{
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
-		queues: map[string][]*Request{}, peers: newPeers(), biases: map[string]*bias{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
+		queues: map[string][]*Request{}, peers: newPeers(), biases: map[string]*bias{}, started: map[string]int{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
 		pacers: map[string]*pacer{}, wants: map[string]want{}, parts: map[string]endpointParts{},
 		gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -318,8 +318,11 @@
 		Repeatable: d.runs+1 < d.maxRuns, Avoid: maps.Clone(d.triedEndpoints),
 		Version: d.streamVersion,
 	}
-	if r.OutputTokens == 0 {
-		r.OutputTokens = int(expectedOutputShare * float64(d.call.MaxOutputTokens))
+	switch most := d.call.MaxOutputTokens; {
+	case r.OutputTokens == 0:
+		r.OutputTokens = int(expectedOutputShare * float64(most))
+	case most > 0:
+		r.OutputTokens = min(r.OutputTokens, most)
 	}
 	r.Due = d.arrived + route.TargetLatency
 	if r.Stream {
--- a/daemon/front/request_test.go
+++ b/daemon/front/request_test.go
@@ -46,3 +46,11 @@
 	d.placements = 2
 	g.Expect(withoutTimes(d.schedulerRequest())).To(Equal(withoutTimes(first)))
 }
+
+// A caller's estimate of its output does not exceed the most that it accepts.
+func TestTheExpectedOutputIsBoundedByTheCallersMaximum(t *testing.T) {
+	g := NewWithT(t)
+	d := streamDelivery(t, 10*time.Second)
+	d.call.OutputHint = 5000
+	g.Expect(d.schedulerRequest().OutputTokens).To(Equal(100))
+}
