scheduler: no request is held for a better endpoint

What callers saw: a request with a long prompt was held for 0.35 of its target latency while an endpoint that could answer it was free, if another without a free slot was cheaper by 0.8 s. It was held as well when its time was short.

Cause: betterEndpointWaitShare, a share of the target, and betterEndpointMinGain. The wait kept the first event within the target or not at all; the caller's time had no part in it.

Change: an endpoint with a free slot that can answer in time gets the request.

TestARequestIsNotHeldWhileAnEndpointCanAnswerInTime failed before for a prompt of 30,000 tokens.

--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -135,6 +135,24 @@
 // While a faster endpoint can still answer in time, a run that would be cut is not begun at a slow one.
 func TestNoRunIsBegunThatItsCallerWouldCut(t *testing.T) {
 	g := NewWithT(t)
+	s := newFastAndSlow(g)
+	now := 10 * time.Second
+	fillEndpoint(s, now, "fast")
+	r := streamRequest(1, now)
+	r.OutputTokens, r.Deadline = 600, now+2*time.Second // half of it takes 0.6 s, or 2.9 s
+	s.Enqueue(r)
+	for ; now < 10*time.Second+800*ms; now += 50 * ms {
+		fillEndpoint(s, now, "fast")
+		plan := s.Plan(now)
+		g.Expect(plan.Placements).To(BeEmpty())
+		g.Expect(plan.Refusals).To(BeEmpty())
+	}
+	s.SetPeerReport(now, "other", scheduler.Report{})
+	g.Expect(placements(s.Plan(now))).To(Equal(map[uint64]string{1: "fast"}))
+}
+
+// newFastAndSlow returns a scheduler that knows the speed of two endpoints.
+func newFastAndSlow(g Gomega) *scheduler.Scheduler {
 	s := newScheduler()
 	for id, interval := range map[string]time.Duration{"fast": 11 * ms, "slow": 57 * ms} {
 		other := engineEndpoint(map[string]string{"fast": "slow", "slow": "fast"}[id])
@@ -149,17 +167,19 @@
 		s.Done(30*ms, 1000, scheduler.Answered)
 	}
 	s.SetEndpoints([]directory.Endpoint{engineEndpoint("fast"), engineEndpoint("slow")})
-	now := 10 * time.Second
-	fillEndpoint(s, now, "fast")
-	r := streamRequest(1, now)
-	r.OutputTokens, r.Deadline = 600, now+2*time.Second // half of it takes 0.6 s, or 2.9 s
-	s.Enqueue(r)
-	for ; now < 10*time.Second+800*ms; now += 50 * ms {
-		fillEndpoint(s, now, "fast")
-		plan := s.Plan(now)
-		g.Expect(plan.Placements).To(BeEmpty())
-		g.Expect(plan.Refusals).To(BeEmpty())
+	return s
+}
+
+// A caller does not wait for a faster endpoint while one with a free slot can answer in time.
+func TestARequestIsNotHeldWhileAnEndpointCanAnswerInTime(t *testing.T) {
+	const start = 10 * time.Second
+	for _, promptTokens := range []int{600, 30_000} {
+		g := NewWithT(t)
+		s := newFastAndSlow(g)
+		r := streamRequest(1, start)
+		r.PromptTokens, r.OutputTokens = promptTokens, 6
+		s.Enqueue(r)
+		fillEndpoint(s, start, "fast")
+		g.Expect(placements(s.Plan(start))).To(Equal(map[uint64]string{1: "slow"}), "%d tokens", promptTokens)
 	}
-	s.SetPeerReport(now, "other", scheduler.Report{})
-	g.Expect(placements(s.Plan(now))).To(Equal(map[uint64]string{1: "fast"}))
 }
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -6,15 +6,6 @@
 	"time"
 )
 
-const (
-	// betterEndpointWaitShare is the part of the time between a request's arrival and
-	// its due time in which it may wait for a better endpoint.
-	betterEndpointWaitShare = 0.35
-	// betterEndpointMinGain is how much lower, in seconds, the cost of an endpoint
-	// without a free slot must be for a request to wait for it.
-	betterEndpointMinGain = 0.8
-)
-
 // Plan decides which requests to place, refuse and fail over now.
 func (s *Scheduler) Plan(now time.Duration) Plan {
 	var plan Plan
@@ -300,7 +291,7 @@
 		return nil, 0
 	}
 	var best *candidate
-	lowest, lowestFull := math.Inf(1), math.Inf(1)
+	lowest := math.Inf(1)
 	allAvoided := !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) })
 	suitable := make([]*candidate, 0, len(p.candidates))
 	mustFit := now <= s.latestStart(r, p) && !r.StreamStarted
@@ -318,17 +309,12 @@
 		case !c.open: // when it opens does not depend on its slots
 		case !mayStart && !c.regulated: // the share of this entry is used
 		case c.freeSlots(s.cfg.Overcommit) <= 0:
-			lowestFull = min(lowestFull, cost)
 		case c.due:
 			return c, cost
 		case cost < lowest:
 			best, lowest = c, cost
 		}
 	}
-	maxWait := time.Duration(betterEndpointWaitShare * float64(r.Due-r.Arrived))
-	if best != nil && lowest >= lowestFull+betterEndpointMinGain && now < r.Arrived+maxWait {
-		return nil, 0
-	}
 	return best, lowest
 }
 
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -17,8 +17,7 @@
 //
 // The prefill of a long prompt delays the tokens of all other requests at the same
 // endpoint. On slow endpoints the delay exceeds the target gap between events, so long
-// prompts go to endpoints that prefill them within it, and wait for a short time for
-// one of these to have a free slot.
+// prompts go to endpoints that prefill them within it where one of these has a free slot.
 //
 // The package has no I/O, clock or goroutine. Times are offsets on a single clock that
 // the caller chooses.
