scheduler: no decision hangs on a route's target latency

What callers saw: an endpoint at which the first event was expected past the target cost a second more, so late requests were spread otherwise than others with the same work.

Cause: lateCost, and Request.Due, which carried the target into the scheduler.

Change: both are gone. Endpoints are compared by the time that they take, and by whether the answer ends within the caller's time. The target latency stands in one place only: PROTOCOL says that callers abandon a stream without an event after the longest of 2 s, 4 target latencies and 8 target gaps, so NextByteDeadline keeps it. That is the time that the caller has, and is now said so. The target gap, which a route declares, has a part in the choice of the endpoint alone.

TestTargetsTellOnlyHowLongACallerWaitsForAnEvent (front) failed before: the request to the scheduler changed with the target. TestTheTargetGapChangesNeitherWaitsNorRefusals (rapid) holds since no request is held for a better endpoint.

--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -183,3 +183,27 @@
 		g.Expect(placements(s.Plan(start))).To(Equal(map[uint64]string{1: "slow"}), "%d tokens", promptTokens)
 	}
 }
+
+// A route's target gap may tell where a request goes, but not when it is started or refused.
+func TestTheTargetGapChangesNeitherWaitsNorRefusals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		tight, loose := newScheduler(engineEndpoint("a"), engineEndpoint("b")), newScheduler(engineEndpoint("a"), engineEndpoint("b"))
+		for id := range uint64(rapid.IntRange(1, 40).Draw(t, "requests")) {
+			r := streamRequest(id, 0)
+			r.PromptTokens, r.OutputTokens = rapid.IntRange(1, 50_000).Draw(t, "prompt"), rapid.IntRange(1, 2000).Draw(t, "output")
+			r.GapTarget = 50 * ms
+			tight.Enqueue(r)
+			r.GapTarget = 5 * time.Second
+			loose.Enqueue(r)
+		}
+		for now := time.Duration(0); now < 4*time.Second; now += 100 * ms {
+			x, y := tight.Plan(now), loose.Plan(now)
+			g.Expect(placements(x)).To(HaveLen(len(y.Placements)))
+			for id := range placements(x) {
+				g.Expect(placements(y)).To(HaveKey(id))
+			}
+			g.Expect(refusals(x)).To(Equal(refusals(y)))
+		}
+	})
+}
--- a/coord/scheduler/cost.go
+++ b/coord/scheduler/cost.go
@@ -11,8 +11,6 @@
 	// generationWeight is the cost of a second of generation relative to a second of
 	// waiting for the first event.
 	generationWeight = 0.1
-	// lateCost is added, in seconds, where the first event is expected to be late.
-	lateCost = 1.0
 	// gapCost is the cost, in seconds, of each second by which the gap expected during prefill exceeds prefillGapShare of the target gap.
 	gapCost = 4.0
 	// deadlineCost is added, in seconds, where the end is expected after the deadline.
@@ -50,9 +48,6 @@
 	generation := float64(r.OutputTokens) * s.tokenInterval(r.Service, c.eventInterval)
 	cost += first + generationWeight*generation
 	cost += interferenceWeight * float64(r.PromptTokens) / c.promptRate * float64(c.running)
-	if now.Seconds()+first > r.Due.Seconds() {
-		cost += lateCost
-	}
 	if freeGap := prefillGapShare * r.GapTarget.Seconds(); freeGap > 0 {
 		cost += gapCost * max(s.gapDuringPrefill(r.Service, promptTokens, c)-freeGap, 0)
 	}
--- a/coord/scheduler/desk_simulation_test.go
+++ b/coord/scheduler/desk_simulation_test.go
@@ -210,7 +210,7 @@
 	c.id, c.front, c.endpoint = w.lastID, w.rng.Intn(len(w.fronts)), nil
 	w.calls[c.id] = c
 	w.fronts[c.front].s.Enqueue(scheduler.Request{
-		ID: c.id, Service: "desk", Arrived: w.now, Due: c.firstSentAt + deskTarget,
+		ID: c.id, Service: "desk", Arrived: w.now,
 		NextByteDeadline: c.firstSentAt + deskDeadline, Deadline: c.firstSentAt + deskDeadline,
 	})
 	w.plan(c.front)
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -40,9 +40,8 @@
 	PromptTokens, OutputTokens int
 	// Arrived is when the entry had read the request.
 	Arrived time.Duration
-	// Due is the time until which the answer, or the first event of a stream, is on time.
-	Due time.Duration
-	// GapTarget is the longest gap between events that is on time; 0 = none.
+	// GapTarget is the longest gap between events that the route intends; 0 = none. It has a part in
+	// the choice of the endpoint alone.
 	GapTarget time.Duration
 	// EventTimeout is how long the caller waits for an event of the stream; 0 = unknown.
 	EventTimeout time.Duration
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -35,14 +35,14 @@
 func streamRequest(id uint64, now time.Duration) scheduler.Request {
 	return scheduler.Request{
 		ID: id, Service: "model", Stream: true, PromptTokens: 600, OutputTokens: 300,
-		Arrived: now, Due: now + 400*ms, GapTarget: 400 * ms, NextByteDeadline: now + 3200*ms, Deadline: now + 12*time.Second,
+		Arrived: now, GapTarget: 400 * ms, NextByteDeadline: now + 3200*ms, Deadline: now + 12*time.Second,
 		Repeatable: true,
 	}
 }
 
 func plainRequest(id uint64, now time.Duration) scheduler.Request {
 	return scheduler.Request{
-		ID: id, Service: "desk", Arrived: now, Due: now + 100*ms,
+		ID: id, Service: "desk", Arrived: now,
 		NextByteDeadline: now + time.Second, Deadline: now + time.Second, Repeatable: true,
 	}
 }
@@ -185,7 +185,6 @@
 	longPrompt, longOutput := streamRequest(1, 0), streamRequest(2, 0)
 	longPrompt.PromptTokens, longPrompt.OutputTokens = 40_000, 10
 	longOutput.PromptTokens, longOutput.OutputTokens = 10_100, 3_000
-	longPrompt.Due, longOutput.Due = 5*time.Second, 5*time.Second
 	s.Enqueue(longPrompt)
 	s.Enqueue(longOutput)
 	g.Expect(placements(s.Plan(0))).To(HaveLen(1))
@@ -197,7 +196,7 @@
 	recordEventInterval(s, "fast", 11*ms)
 	recordEventInterval(s, "slow", 57*ms)
 	long := streamRequest(90, 10*time.Second)
-	long.PromptTokens, long.Due = 20_000, 10*time.Second+800*ms
+	long.PromptTokens = 20_000
 	s.Enqueue(long)
 	g.Expect(placements(s.Plan(10 * time.Second))).To(Equal(map[uint64]string{90: "fast"}))
 }
@@ -358,7 +357,7 @@
 	running := placements(s.Plan(0))
 	g.Expect(running).To(HaveLen(2))
 	again := streamRequest(1, 0)
-	again.StreamStarted, again.Priority, again.OutputTokens, again.Due = true, 3, 5000, 0
+	again.StreamStarted, again.Priority, again.OutputTokens = true, 3, 5000
 	again.NextByteDeadline = 2 * time.Second
 	s.Enqueue(again)
 	plan := s.Plan(600 * ms)
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -452,7 +452,7 @@
 func (o *adapter) enqueue(now time.Duration, c *simCall) {
 	o.s.Enqueue(scheduler.Request{
 		ID: c.id, Service: "model", Priority: c.kind.priority, Stream: true,
-		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, Due: c.firstSentAt + c.kind.target, GapTarget: 400 * ms,
+		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, GapTarget: 400 * ms,
 		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline,
 	})
 }
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -295,9 +295,9 @@
 }
 
 const (
-	// A caller is expected to wait for the next event of a stream for the longest of these
-	// times: minEventTimeout, eventTimeoutTargetLatencies times the route's target latency,
-	// and eventTimeoutTargetGaps times the route's target gap.
+	// A caller abandons a stream without an event, also before the first, after the longest of
+	// these times: minEventTimeout, eventTimeoutTargetLatencies times the route's target latency,
+	// and eventTimeoutTargetGaps times its target gap. The platform's protocol says so.
 	minEventTimeout             = 2 * time.Second
 	eventTimeoutTargetLatencies = 4
 	eventTimeoutTargetGaps      = 8
@@ -324,7 +324,6 @@
 	case most > 0:
 		r.OutputTokens = min(r.OutputTokens, most)
 	}
-	r.Due = d.arrived + route.TargetLatency
 	if r.Stream {
 		r.EventTimeout = max(minEventTimeout, eventTimeoutTargetLatencies*route.TargetLatency, eventTimeoutTargetGaps*route.GapTarget)
 		r.StreamStarted = d.streamStarted
--- a/daemon/front/request_test.go
+++ b/daemon/front/request_test.go
@@ -54,3 +54,27 @@
 	d.call.OutputHint = 5000
 	g.Expect(d.schedulerRequest().OutputTokens).To(Equal(100))
 }
+
+// The target latency and the target gap of a route tell how long callers wait for an event, by the
+// platform's protocol, and nothing else of when a request is served.
+func TestTargetsTellOnlyHowLongACallerWaitsForAnEvent(t *testing.T) {
+	for _, c := range []struct{ latency, gap, wait time.Duration }{
+		{100 * time.Millisecond, 200 * time.Millisecond, 2 * time.Second},
+		{400 * time.Millisecond, 250 * time.Millisecond, 2 * time.Second},
+		{800 * time.Millisecond, 250 * time.Millisecond, 3200 * time.Millisecond},
+		{400 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second},
+	} {
+		g := NewWithT(t)
+		d := streamDelivery(t, 10*time.Second)
+		usual := d.schedulerRequest()
+		d.admission.Route.TargetLatency, d.admission.Route.GapTarget = c.latency, c.gap
+		r := d.schedulerRequest()
+		g.Expect(r.EventTimeout).To(Equal(c.wait))
+		g.Expect(r.NextByteDeadline).To(Equal(d.arrived + c.wait))
+		r.EventTimeout, r.GapTarget = usual.EventTimeout, usual.GapTarget
+		g.Expect(withoutTimes(r)).To(Equal(withoutTimes(usual)))
+		d.admission.Route.Kind = routing.Idempotent
+		r = d.schedulerRequest()
+		g.Expect(r.NextByteDeadline).To(Equal(d.deadline), "a plain answer is waited for to the end")
+	}
+}
