scheduler: a caller is told to come back while its answer still fits

What callers saw: Retry-After of up to 0.8 of the time that they had left. One whose answer takes longer than the rest came back for nothing; one with little work was told less than the backlog takes.

Cause: returnShare, a share of the caller's time whatever its work.

Change: Retry-After is the time in which the backlog is worked off, and at the latest the caller's time less the work of its own request. Callers honour up to a third of what they have left (PROTOCOL); that bound is theirs, and a smaller figure would not be the truth about the backlog.

TestACallerIsToldToComeBackWhileItsAnswerStillFits failed before (rapid).

--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -207,3 +207,27 @@
 		}
 	})
 }
+
+// A caller is told to come back as long as its answer fits into the time that it has left then.
+func TestACallerIsToldToComeBackWhileItsAnswerStillFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		s := newScheduler(engineEndpoint("a"))
+		for id := range uint64(40) { // a backlog of some minutes
+			r := streamRequest(100+id, 0)
+			r.OutputTokens, r.NextByteDeadline, r.Deadline = 6000, time.Hour, time.Hour
+			s.Enqueue(r)
+		}
+		r := streamRequest(1, 0)
+		r.Priority, r.OutputTokens = 1, rapid.IntRange(1, 1200).Draw(t, "output")
+		left := time.Duration(rapid.IntRange(1000, 12_000).Draw(t, "left")) * ms
+		r.NextByteDeadline, r.Deadline = min(left, 3200*ms), left
+		s.Enqueue(r)
+		plan := s.Plan(0)
+		g.Expect(refusals(plan)).To(HaveKey(uint64(1)))
+		work := 40*ms + time.Duration(r.OutputTokens)*25*ms/6/2
+		for _, one := range plan.Refusals {
+			g.Expect(one.RetryAfter).To(BeNumerically("<=", max(left-work, 300*ms)))
+		}
+	})
+}
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -11,9 +11,6 @@
 	// should be sent again.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
-	// returnShare is the part of the time that a caller has left after which it should have come
-	// back, so that there is time for its answer.
-	returnShare = 0.8
 	// restRetrySpread is the part of the time until an endpoint is back by which retries are spread.
 	restRetrySpread = 0.25
 )
@@ -100,14 +97,20 @@
 	}
 	expected := time.Duration(backlog / s.usableSlots(r, p) * float64(time.Second))
 	after := time.Duration((0.75 + 0.5*s.rng.Float64()) * float64(max(expected, minRetryAfter)))
-	// A moment after the caller's own deadline would not help it.
-	latest := time.Duration(returnShare * float64(r.Deadline-now))
+	latest := s.latestReturn(now, r, p)
 	return Refusal{
 		Request: r.ID, Reason: reason, RetryAfter: min(after, max(latest, minRetryAfter), maxRetryAfter),
 		Waited: now - r.Arrived, Queued: queued,
 	}
 }
 
+// latestReturn returns after what time a caller should have sent a refused request again for its
+// answer to come before it leaves.
+func (s *Scheduler) latestReturn(now time.Duration, r *Request, p *pool) time.Duration {
+	_, whole := s.shortestRun(r, p)
+	return r.Deadline - now - whole - s.cfg.RefuseMargin
+}
+
 // refusedWork is the work that was refused and is expected to be retried.
 type refusedWork struct {
 	slotSeconds float64
