scheduler: the silence of a stream is measured by its caller's patience

The shortest silence after which a stream moves was 0.9 s, "late anyway" after that: the reason was the target, though the figure is 0.45 of the 2 s that callers wait for an event at least (PROTOCOL). It is computed from that now, and the comment says why: another endpoint gets more than as much time as the silent one had.

No decision changes.

--- a/coord/scheduler/failover.go
+++ b/coord/scheduler/failover.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// A stream that can move to another endpoint may be silent for minStreamSilence, or
-	// for streamSilenceShare of the time that its caller waits for an event if that is
-	// longer, before its endpoint counts as lost. An event after a longer silence is late
-	// anyway, so an earlier failover would gain nothing and might cancel a run that was
-	// about to start.
-	minStreamSilence   = 900 * time.Millisecond
+	// minEventTimeout is how long callers wait for an event of a stream at least, by the
+	// platform's protocol.
+	minEventTimeout = 2 * time.Second
+	// streamSilenceShare is the part of the time that a caller waits for an event for which
+	// a stream that can move to another endpoint may be silent before its endpoint counts as
+	// lost. It leaves the other endpoint more than as much time for the event.
 	streamSilenceShare = 0.45
 	// plainSilenceShare is the part of a plain request's time at the endpoint, up to its
 	// deadline, for which the endpoint may be silent.
@@ -59,6 +59,6 @@
 	interval := max(e.eventInterval, defaultEventInterval)
 	tokens := e.pendingPromptTokens() + s.peers.loads[e.ID].PromptTokens
 	prefill := time.Duration(float64(tokens) / defaultPromptTokensPerEvent * float64(interval))
-	share := time.Duration(streamSilenceShare * float64(r.request.EventTimeout))
-	return max(minStreamSilence, share, silenceFactor*interval+2*prefill)
+	share := time.Duration(streamSilenceShare * float64(max(r.request.EventTimeout, minEventTimeout)))
+	return max(share, silenceFactor*interval+2*prefill)
 }
--- a/coord/scheduler/scheduler_test.go
+++ b/coord/scheduler/scheduler_test.go
@@ -344,6 +344,21 @@
 	g.Expect(s.Plan(1500 * ms).Failovers).To(Equal([]uint64{1}))
 }
 
+// A stream whose endpoint falls silent moves while its caller waits at least as long again for an event.
+func TestASilentStreamMovesWhileItsCallerStillWaitsAsLong(t *testing.T) {
+	for _, patience := range []time.Duration{2 * time.Second, 3200 * ms, 4 * time.Second} {
+		g := NewWithT(t)
+		s := newScheduler(engineEndpoint("a"))
+		r := streamRequest(1, 0)
+		r.EventTimeout, r.NextByteDeadline = patience, patience
+		s.Enqueue(r)
+		g.Expect(s.Plan(0).Placements).To(HaveLen(1))
+		s.SetEndpoints([]directory.Endpoint{engineEndpoint("a"), engineEndpoint("b")})
+		g.Expect(s.Plan(patience*2/5).Failovers).To(BeEmpty(), "%v", patience)
+		g.Expect(s.Plan(patience/2).Failovers).To(Equal([]uint64{1}), "%v", patience)
+	}
+}
+
 // A stream that failed over after its caller received events precedes all waiting
 // requests, and is not refused because of the backlog.
 func TestStartedStreamIsPlacedFirstAndNotRefused(t *testing.T) {
