endpoint: a missed target doesn't put a reservation behind others

What callers saw: at an endpoint with an agent, a request that had waited longer than its tier's target for the first token went behind all of its tier that had not, for as long as such came.

Cause: late() counted a missed target like an answer that can't end in time. That fits goodput, which counts answers within the target; its caller waits no less.

Change: within a tier only those go last whose run is not expected to end by their caller's deadline. Accounts' shares and arrival decide the rest, as before.

--- a/coord/endpoint/event.go
+++ b/coord/endpoint/event.go
@@ -44,8 +44,8 @@
 	Cost time.Duration
 	// TimeLeft is the time until the caller's deadline.
 	TimeLeft time.Duration
-	// FirstTokenTarget is the tier's target for the time to the first token; 0 = none.
-	// Within a tier, reservations that have missed it go behind those that have not.
+	// FirstTokenTarget is the tier's target for the time to the first token; 0 = none. The
+	// shortest of them bounds the prefill that an endpoint is given at once.
 	FirstTokenTarget time.Duration
 	// Prefill is the expected time to the first token if the endpoint computes no other prompt.
 	Prefill time.Duration
--- a/coord/endpoint/reserve.go
+++ b/coord/endpoint/reserve.go
@@ -105,14 +105,14 @@
 	}
 }
 
-// before reports whether a is granted before b. The order is by rank, then those that
-// are not late before those that are, then by the account's virtual time, then by due
-// time and arrival.
+// before reports whether a is granted before b. The order is by rank, then those that can
+// end by their deadline before those that can't, then by the account's virtual time, then
+// by due time and arrival.
 func (m *Machine) before(a, b *reservation) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if x, y := m.late(a), m.late(b); x != y {
+	if x, y := m.endsTooLate(a), m.endsTooLate(b); x != y {
 		return y
 	}
 	if x, y := m.virtualTimes.startOf(a), m.virtualTimes.startOf(b); x != y {
@@ -124,12 +124,9 @@
 	return a.sequence < b.sequence
 }
 
-// late reports whether the reservation has waited longer than its target for the
-// first token, or its run is not expected to end by the deadline.
-func (m *Machine) late(r *reservation) bool {
-	if r.FirstTokenTarget > 0 && m.now > r.arrived+r.FirstTokenTarget {
-		return true
-	}
+// endsTooLate reports whether the run is not expected to end by the caller's deadline. A caller
+// that has waited longer than its tier's target is served like the others of its tier.
+func (m *Machine) endsTooLate(r *reservation) bool {
 	return m.now+r.Cost > r.expires
 }
 
