scheduler: prospects of waiting requests are computed once a plan

Cause: queues are longer since requests wait as long as their callers, and each comparison of two of them looked up maps and their rank.

Change: what the order needs is computed once a plan and kept with the request, a queue that is still in order is not sorted again, and turns are taken only while a slot is free.

No test but the benchmark, since a bound on time would depend on the machine.

--- a/coord/scheduler/bench_test.go
+++ b/coord/scheduler/bench_test.go
@@ -12,8 +12,8 @@
 // BenchmarkPlan measures a plan in a full deployment: the slots of all endpoints are
 // taken by other entries, and requests wait.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ endpoints, peers, waiting int }{{12, 4, 20}, {51, 27, 40}, {400, 99, 40}} {
-		b.Run(fmt.Sprintf("endpoints=%d/peers=%d", size.endpoints, size.peers), func(b *testing.B) {
+	for _, size := range []struct{ endpoints, peers, waiting int }{{12, 4, 20}, {51, 27, 40}, {51, 27, 400}, {400, 99, 40}} {
+		b.Run(fmt.Sprintf("endpoints=%d/peers=%d/waiting=%d", size.endpoints, size.peers, size.waiting), func(b *testing.B) {
 			rows := make([]directory.Endpoint, size.endpoints)
 			report := scheduler.Report{Loads: map[string]scheduler.Load{}, Demand: map[string]int{"model": 2 * size.endpoints}}
 			for i := range rows {
--- a/coord/scheduler/order.go
+++ b/coord/scheduler/order.go
@@ -99,78 +99,85 @@
 // would leave callers unanswered who need little; more would starve those who need much.
 const leastWorkTurn = 4
 
-// order compares the requests of a queue during one plan.
-type order struct {
-	s            *Scheduler
-	now          time.Duration
-	latestStarts map[uint64]time.Duration
-	work         map[uint64]float64 // expected slot-seconds
-}
-
-func (s *Scheduler) newOrder(now time.Duration, queue []*Request, p *pool) order {
-	o := order{s: s, now: now, latestStarts: make(map[uint64]time.Duration, len(queue)), work: make(map[uint64]float64, len(queue))}
+// prospect is what a plan knows of a waiting request. It is computed once a plan, since long queues
+// are compared often.
+type prospect struct {
+	latestStart time.Duration
+	work        float64 // expected slot-seconds
+	tooLate     bool    // its answer can't come before its caller leaves
+	starving    bool    // see Scheduler.isStarving
+}
+
+// assess computes the prospects of the requests of a queue.
+func (s *Scheduler) assess(now time.Duration, queue []*Request, p *pool) {
+	starving := map[rank]bool{}
 	for _, r := range queue {
-		o.latestStarts[r.ID], o.work[r.ID] = s.latestStart(r, p), s.slotTime(r, p)
+		isStarving, known := starving[rankOf(r)]
+		if !known {
+			isStarving = s.isStarving(r)
+			starving[rankOf(r)] = isStarving
+		}
+		latest := s.latestStart(r, p)
+		r.prospect = prospect{latestStart: latest, work: s.slotTime(r, p), tooLate: now > latest, starving: isStarving}
 	}
-	return o
-}
-
-// tooLate reports whether a request can't be answered before its caller leaves.
-func (o order) tooLate(r *Request) bool {
-	return o.now > o.latestStarts[r.ID]
 }
 
-// byRank compares two requests by what goes before the time and work that they have left.
-func (o order) byRank(a, b *Request) int {
+// compareRank compares two requests by what goes before the time and work that they have left.
+func compareRank(a, b *Request) int {
 	return cmp.Or(
 		compareBool(b.StreamStarted, a.StreamStarted),
-		compareBool(o.tooLate(a), o.tooLate(b)),
-		compareBool(o.s.isStarving(b), o.s.isStarving(a)),
+		compareBool(a.prospect.tooLate, b.prospect.tooLate),
+		compareBool(b.prospect.starving, a.prospect.starving),
 		cmp.Compare(a.AccountPriority, b.AccountPriority),
 		cmp.Compare(a.Priority, b.Priority),
 	)
 }
 
-// sortByStart sorts requests by rank and the time until which they can be started.
-func (o order) sortByStart(queue []*Request) {
-	slices.SortStableFunc(queue, func(a, b *Request) int {
-		return cmp.Or(o.byRank(a, b), cmp.Compare(o.latestStarts[a.ID], o.latestStarts[b.ID]), cmp.Compare(a.Arrived, b.Arrived))
-	})
+// compareStart compares two requests by rank and the time until which they can be started.
+func compareStart(a, b *Request) int {
+	return cmp.Or(compareRank(a, b), cmp.Compare(a.prospect.latestStart, b.prospect.latestStart), cmp.Compare(a.Arrived, b.Arrived))
+}
+
+// sortByStart sorts a queue by rank and latest start. Most queues are sorted since the last plan.
+func sortByStart(queue []*Request) {
+	if !slices.IsSortedFunc(queue, compareStart) {
+		slices.SortStableFunc(queue, compareStart)
+	}
 }
 
-// sort sorts requests into the order in which they are started. Of equal rank, those that have to be
-// started soonest and those with the least work take turns: the ones keep a caller with much work from
-// waiting in vain, the others let the same engines answer more callers.
-func (o order) sort(queue []*Request) {
-	o.sortByStart(queue)
+// takeTurns reorders requests that are sorted by their latest start into the order in which they are
+// started. Of equal rank, those that have to be started soonest and those with the least work take
+// turns: the ones keep a caller with much work from waiting in vain, the others let the same engines
+// answer more callers.
+func (s *Scheduler) takeTurns(queue []*Request) {
 	for len(queue) > 0 {
 		equal := 1
-		for equal < len(queue) && o.byRank(queue[0], queue[equal]) == 0 {
+		for equal < len(queue) && compareRank(queue[0], queue[equal]) == 0 {
 			equal++
 		}
-		o.interleave(queue[:equal])
+		s.interleave(queue[:equal])
 		queue = queue[equal:]
 	}
 }
 
 // interleave reorders requests that are sorted by their latest start: in each leastWorkTurn, one is that
 // with the least work of those left.
-func (o order) interleave(byStart []*Request) {
+func (s *Scheduler) interleave(byStart []*Request) {
 	waiting := slices.Clone(byStart)
 	byWork := slices.Clone(byStart)
-	slices.SortStableFunc(byWork, func(a, b *Request) int { return cmp.Compare(o.work[a.ID], o.work[b.ID]) })
-	taken := make(map[uint64]bool, len(byStart))
-	started := o.s.started[byStart[0].Service]
+	slices.SortStableFunc(byWork, func(a, b *Request) int { return cmp.Compare(a.prospect.work, b.prospect.work) })
+	taken := make(map[*Request]bool, len(byStart))
+	started := s.started[byStart[0].Service]
 	for i := range byStart {
 		list := &waiting
 		if (started+i)%leastWorkTurn == leastWorkTurn-1 {
 			list = &byWork
 		}
-		for taken[(*list)[0].ID] {
+		for taken[(*list)[0]] {
 			*list = (*list)[1:]
 		}
 		byStart[i] = (*list)[0]
-		taken[byStart[i].ID] = true
+		taken[byStart[i]] = true
 	}
 }
 
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -133,8 +133,12 @@
 func (s *Scheduler) planService(now time.Duration, service string, plan *Plan) {
 	queue := s.queues[service]
 	p := s.pool(now, service)
-	order := s.newOrder(now, queue, p)
-	order.sort(queue)
+	s.assess(now, queue, p)
+	sortByStart(queue)
+	mayPlace := p.openCandidates > 0
+	if mayPlace {
+		s.takeTurns(queue)
+	}
 	var left []*Request
 	for _, r := range queue {
 		if now >= s.latestRefusal(r) {
@@ -153,7 +157,9 @@
 		plan.Placements = append(plan.Placements, s.place(now, r, c, cost, p))
 	}
 	p.closed = len(p.candidates) > 0 && !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return c.open })
-	order.sortByStart(left)
+	if mayPlace {
+		sortByStart(left)
+	}
 	s.queues[service] = s.refuseBacklog(now, left, p, plan)
 	if p.homes {
 		s.askForPlaces(now, service, s.queues[service], p)
@@ -294,7 +300,7 @@
 	lowest := math.Inf(1)
 	allAvoided := !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) })
 	suitable := make([]*candidate, 0, len(p.candidates))
-	mustFit := now <= s.latestStart(r, p) && !r.StreamStarted
+	mustFit := !r.prospect.tooLate && !r.StreamStarted
 	for _, c := range p.candidates {
 		if mustFit && !s.canAnswer(now, r, c) {
 			continue
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -24,13 +24,13 @@
 	ahead := newBacklog(s.usableSlots(queue[0], p), len(queue))
 	var left []*Request
 	for _, r := range queue {
-		work := s.slotTime(r, p)
+		work := r.prospect.work
 		wait := ahead.wait()
 		if p.closed {
 			wait += time.Duration(ahead.scale * work * float64(time.Second)) // the rate allows none now
 		}
 		end, resting := p.restEnd()
-		tooLate := resting && end > s.latestStart(r, p) || len(p.candidates) > 0 && now+wait > s.latestStart(r, p)
+		tooLate := resting && end > r.prospect.latestStart || len(p.candidates) > 0 && now+wait > r.prospect.latestStart
 		if tooLate && !r.StreamStarted {
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonBacklog, p, len(queue)))
 			continue
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -59,6 +59,8 @@
 	Avoid map[string]bool
 	// Version is the software version of the endpoints that may run the request; empty = any.
 	Version string
+
+	prospect prospect // as of the last plan
 }
 
 // mayRunAt reports whether an endpoint has a software version that may run the request.
