tests: no lower rank before a higher one; a refunded charge that others count

TestNoLowerRankIsStartedWhileAHigherOneWaits (rapid): of random backlogs on equal endpoints, no request is started while one of a higher rank waits.

A request is charged when it comes and refunded when it is refused, but the refund isn't told to the other entries, so what was never run uses up the cap there.

--- a/coord/allowance/allowance_test.go
+++ b/coord/allowance/allowance_test.go
@@ -345,3 +345,22 @@
 		})
 	}
 }
+
+// A request that was charged, waited and was refused has used nothing, at no entry. Otherwise an account
+// is turned away below its cap after an overload in which much was refused.
+func TestARefundedChargeIsNotCountedByOtherEntries(t *testing.T) {
+	g := NewWithT(t)
+	e := newEntries(2)
+	now := time.Duration(0)
+	for ; now < 5*time.Second; now += step { // full
+		e.exchange(now)
+	}
+	for range 20 {
+		if _, ok := e.limiters[0].Admit(now, "crew", 2000, 0); ok {
+			e.limiters[0].Refund("crew", 2000)
+		}
+	}
+	e.exchange(now)
+	_, ok := e.limiters[1].Admit(now, "crew", 2000, 0)
+	g.Expect(ok).To(BeTrue(), "nothing has run")
+}
--- a/coord/scheduler/callers_test.go
+++ b/coord/scheduler/callers_test.go
@@ -231,3 +231,36 @@
 		}
 	})
 }
+
+// No request is started before one of a higher rank that could be started in its place, whatever their
+// work and time are. Endpoints of equal speed and version can take any of them.
+func TestNoLowerRankIsStartedWhileAHigherOneWaits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		s := newScheduler(engineEndpoint("a"), engineEndpoint("b"))
+		requests := map[uint64]scheduler.Request{}
+		for id := range uint64(rapid.IntRange(1, 20).Draw(t, "requests")) {
+			r := streamRequest(id, 0)
+			r.AccountPriority, r.Priority = rapid.IntRange(0, 1).Draw(t, "account"), rapid.IntRange(0, 2).Draw(t, "class")
+			r.PromptTokens, r.OutputTokens = rapid.IntRange(1, 20_000).Draw(t, "prompt"), rapid.IntRange(1, 600).Draw(t, "output")
+			requests[id] = r
+			s.Enqueue(r)
+		}
+		for now := time.Duration(0); now < time.Second; now += 100 * ms {
+			plan := s.Plan(now)
+			for _, one := range plan.Placements {
+				placed := requests[one.Request]
+				delete(requests, one.Request)
+				s.Done(now, one.Request, scheduler.Answered)
+				for _, r := range requests {
+					higher := r.AccountPriority < placed.AccountPriority || r.AccountPriority == placed.AccountPriority && r.Priority < placed.Priority
+					_, alsoPlaced := placements(plan)[r.ID]
+					g.Expect(higher && !alsoPlaced).To(BeFalse(), "%+v is started while %+v waits", placed, r)
+				}
+			}
+			for _, one := range plan.Refusals {
+				delete(requests, one.Request)
+			}
+		}
+	})
+}
