scheduler, platform: endpoints' statements of load are read; switches for what follows

Endpoints state running, waiting and slots, and the pace of their machine, in each answer (X-Server-Load), and no front read it. The statement is decoded and recorded; no decision uses it yet. The switches stated_load, engine_memory, account_sharing and domain_preference default to auto: on for a service of which an endpoint states its pace.

BenchmarkPlan gets cases in which half of the endpoints are free and 400 requests wait.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -87,6 +87,8 @@
 	Slots int
 	// EventTokens is how many tokens one event of a stream carries; 0 = unknown.
 	EventTokens int
+	// MemoryTokens is the memory of one engine, in tokens; 0 = unknown.
+	MemoryTokens int
 }
 
 // Limits bound the sizes of a caller's requests and the times that its connections may
--- a/coord/scheduler/bench_test.go
+++ b/coord/scheduler/bench_test.go
@@ -9,26 +9,51 @@
 	"primrosespoke.dev/coord/scheduler"
 )
 
-// BenchmarkPlan measures a plan in a full deployment: the slots of all endpoints are
-// taken by other entries, and requests wait.
+// BenchmarkPlan measures a plan in a full deployment: the slots of all endpoints, or of every second
+// one, are taken by other entries, and requests wait. With free slots each plan places what fits, so
+// the requests are queued anew.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ endpoints, peers, waiting int }{{12, 4, 20}, {51, 27, 40}, {51, 27, 400}, {400, 99, 40}} {
-		b.Run(fmt.Sprintf("endpoints=%d/peers=%d/waiting=%d", size.endpoints, size.peers, size.waiting), func(b *testing.B) {
+	for _, size := range []struct {
+		endpoints, peers, waiting int
+		half                      bool
+	}{
+		{12, 4, 20, false},
+		{51, 27, 40, false},
+		{51, 27, 400, false},
+		{400, 99, 40, false},
+		{12, 4, 400, true},
+		{51, 27, 400, true},
+		{51, 99, 400, true},
+		{400, 99, 400, true},
+	} {
+		b.Run(fmt.Sprintf("endpoints=%d/peers=%d/waiting=%d/half_free=%t", size.endpoints, size.peers, size.waiting, size.half), func(b *testing.B) {
 			rows := make([]directory.Endpoint, size.endpoints)
 			report := scheduler.Report{Loads: map[string]scheduler.Load{}, Demand: map[string]int{"model": 2 * size.endpoints}}
 			for i := range rows {
 				rows[i] = engineEndpoint(fmt.Sprintf("i-%08x", i))
-				report.Loads[rows[i].ID] = scheduler.Load{Running: 1, PromptTokens: 100}
+				rows[i].FailureDomain = fmt.Sprint("domain-", i%4)
+				if !size.half || i%2 == 0 {
+					report.Loads[rows[i].ID] = scheduler.Load{Running: 1, PromptTokens: 100}
+				}
 			}
-			s := newScheduler(rows...)
-			for i := range size.peers {
-				s.SetPeerReport(0, fmt.Sprint("front-", i), report)
-			}
-			for id := range uint64(size.waiting) {
-				s.Enqueue(streamRequest(id, 0))
+			fill := func() *scheduler.Scheduler {
+				s := newScheduler(rows...)
+				for i := range size.peers {
+					s.SetPeerReport(0, fmt.Sprint("front-", i), report)
+				}
+				for id := range uint64(size.waiting) {
+					s.Enqueue(streamRequest(id, 0))
+				}
+				return s
 			}
+			s := fill()
 			b.ResetTimer()
 			for b.Loop() {
+				if size.half {
+					b.StopTimer()
+					s = fill()
+					b.StartTimer()
+				}
 				s.Plan(10 * time.Millisecond)
 			}
 		})
--- a/coord/scheduler/endpoint.go
+++ b/coord/scheduler/endpoint.go
@@ -56,6 +56,9 @@
 	failureRate          float64         // moving average of the share of failed attempts
 	connectFailures      int             // consecutive failures to reach the endpoint
 	ejectedUntil         time.Duration   // gets no new requests before
+	statement            Statement       // the last one
+	statedAt             time.Duration   // when it came
+	statesPace           bool            // some statement of this incarnation carried a pace
 	lastByteAt           time.Duration
 }
 
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -38,6 +38,10 @@
 	// PromptTokens are the tokens of the prompt, OutputTokens those expected to be
 	// generated; both are 0 for plain services.
 	PromptTokens, OutputTokens int
+	// MaxOutputTokens is the most that may be generated; 0 = unknown.
+	MaxOutputTokens int
+	// Account is the name of the client account; empty = none.
+	Account string
 	// Arrived is when the entry had read the request.
 	Arrived time.Duration
 	// GapTarget is the longest gap between events that the route intends; 0 = none. It has a part in
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -23,6 +23,16 @@
 	// refusal reaches it: the way, and the time for which a process may be held up that has used up
 	// its share of a core.
 	RefuseMargin time.Duration
+	// StatedLoad: endpoints' statements about their load and pace are used.
+	StatedLoad Mode
+	// EngineMemory: no request is sent to an engine whose memory it may not fit into.
+	EngineMemory Mode
+	// AccountSharing: client accounts of equal rank share scarce slots.
+	AccountSharing Mode
+	// DomainPreference: endpoints of the entry's own failure domain are preferred.
+	DomainPreference Mode
+	// FailureDomain is that of this entry.
+	FailureDomain string
 }
 
 // Defaults of Config.
@@ -39,6 +49,8 @@
 	Engine bool
 	// EventTokens is how many tokens an event of a stream carries; 0 = unknown.
 	EventTokens int
+	// MemoryTokens is the memory of an engine, in tokens; 0 = unknown.
+	MemoryTokens int
 }
 
 // Load is what one entry runs at one endpoint.
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -248,6 +248,9 @@
 		d.front.send(leavingMessage{endpoint: p.Endpoint, born: p.Born, requestID: d.call.ID})
 	}
 	d.reportLimit(p, head)
+	if head.Load != nil && !head.Misdirected {
+		d.front.send(statementMessage{endpoint: p.Endpoint, born: p.Born, statement: *head.Load})
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		conn.MarkFailed(d.call.ID)
 	}
--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -10,6 +10,7 @@
 	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/mirror"
 	"primrosespoke.dev/coord/routing"
+	"primrosespoke.dev/coord/scheduler"
 )
 
 // Call is one request of a caller, decoded.
@@ -73,6 +74,8 @@
 	HasLimit bool
 	// Rest is for how long the endpoint wants nothing from this entry; 0 = it did not say so.
 	Rest time.Duration
+	// Load is what the endpoint states of its load; nil = nothing usable.
+	Load *scheduler.Statement
 	// UnusableLimit is a stated limit that is no rate; empty = none.
 	UnusableLimit string
 }
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -197,6 +197,7 @@
 	setDefault(&c.Timing.EndpointInterval, shareOf(c.LeaveWithin, listIntervalShare))
 	setDefault(&c.Scheduler.ReportTTL, scheduler.DefaultReportTTL)
 	setDefault(&c.Scheduler.RefuseMargin, scheduler.DefaultRefuseMargin)
+	c.Scheduler.FailureDomain = c.FailureDomain
 	setDefault(&c.Directory.ReregisterTime, defaultReregisterTime)
 	setDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&c.MaxHeldBytes, defaultHeldBytes)
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -285,6 +285,17 @@
 	}
 }
 
+// statementMessage delivers what an endpoint stated of its load in an answer.
+type statementMessage struct {
+	endpoint  string
+	born      int64
+	statement scheduler.Statement
+}
+
+func (m statementMessage) apply(c *control) {
+	c.scheduler.ObserveStatement(c.front.now(), m.endpoint, m.born, m.statement)
+}
+
 // withdrawMessage removes a request whose caller has gone or whose deadline has passed.
 // It may have been placed in the meantime.
 type withdrawMessage struct{ id uint64 }
@@ -424,7 +435,7 @@
 	services := map[string]scheduler.ServiceInfo{}
 	for _, name := range t.Services() {
 		s, _ := t.Service(name)
-		services[name] = scheduler.ServiceInfo{Slots: s.Slots, Engine: s.Engine, EventTokens: s.EventTokens}
+		services[name] = scheduler.ServiceInfo{Slots: s.Slots, Engine: s.Engine, EventTokens: s.EventTokens, MemoryTokens: s.MemoryTokens}
 	}
 	c.scheduler.SetServices(services)
 	c.placesChanged()
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -313,7 +313,7 @@
 	r := scheduler.Request{
 		ID: d.id, Service: d.service,
 		AccountPriority: d.admission.AccountPriority(), Priority: route.Priority, Stream: route.Kind == routing.Streaming,
-		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint,
+		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint, MaxOutputTokens: d.call.MaxOutputTokens, Account: d.admission.AccountName(),
 		Arrived: now, GapTarget: route.GapTarget, Deadline: d.deadline, NextByteDeadline: d.deadline,
 		Repeatable: d.runs+1 < d.maxRuns, Avoid: maps.Clone(d.triedEndpoints),
 		Version: d.streamVersion,
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"time"
 
+	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/daemon/front"
 	"primrosespoke.dev/daemon/settings"
 	"primrosespoke.dev/daemon/telemetry"
@@ -59,6 +60,10 @@
 		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
 		FirstStart: s.Front.FirstStart, MaxHeldBytes: memoryPart(s.Front.HeldMB, s.Front.MemoryMB),
 		MaxBodiesBytes: memoryPart(s.Front.BodiesMB, s.Front.MemoryMB),
+		Scheduler: scheduler.Config{
+			StatedLoad: mode(s.Front.StatedLoad), EngineMemory: mode(s.Front.EngineMemory),
+			AccountSharing: mode(s.Front.AccountSharing), DomainPreference: mode(s.Front.DomainPreference),
+		},
 	})
 	if err != nil {
 		log.Error().Err(err).Msg("not_started")
@@ -78,3 +83,14 @@
 	}
 	return int64(memoryPartFraction * float64(memoryMB<<20))
 }
+
+// mode returns the mode that a checked setting names.
+func mode(setting string) scheduler.Mode {
+	switch setting {
+	case "on":
+		return scheduler.On
+	case "off":
+		return scheduler.Off
+	}
+	return scheduler.Auto
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -71,20 +71,24 @@
 
 // Front holds the settings of a front: an entry that sends requests directly to endpoints.
 type Front struct {
-	Callers      string        `yaml:"callers" doc:"listener for callers" check:"address"`
-	Readiness    string        `yaml:"readiness" doc:"listener where the platform asks for readiness" check:"address"`
-	Peers        string        `yaml:"peers" doc:"address for the other entries: reports over UDP, reads of the store's topics over TCP" check:"address"`
-	Operators    string        `yaml:"operators" doc:"listener for metrics and the state dump; none where it is not given" check:"optional address"`
-	Store        string        `yaml:"store" doc:"address of the platform's store" check:"address"`
-	TrustKeysFor time.Duration `yaml:"trust_keys_for" default:"0s" unit:"duration" doc:"how long after the newest configuration was known for certain keys are trusted; 0 = for ever" check:"min 0s"`
-	ApplyWithin  time.Duration `yaml:"apply_within" default:"2s" unit:"duration" doc:"how long after its confirmation a version of the configuration may not yet be in force" check:"min 100ms"`
-	LeaveWithin  time.Duration `yaml:"leave_within" default:"2s" unit:"duration" doc:"how long after an endpoint was listed as leaving it may still get new work" check:"min 100ms"`
-	StopWithin   time.Duration `yaml:"stop_within" default:"8s" unit:"duration" doc:"time from a signal to the end of the process" check:"min 1s"`
-	RetryRatio   float64       `yaml:"retry_ratio" default:"0.2" unit:"sends a request" doc:"further sends that all entries together may make, by service" check:"min 0"`
-	RetryBurst   float64       `yaml:"retry_burst" default:"20" unit:"sends" doc:"further sends beyond the ratio that all entries together may make" check:"min 0"`
-	CapSlack     float64       `yaml:"cap_slack" default:"0" unit:"of the caps" doc:"what a usage cap may be exceeded by, for all entries together" check:"min 0"`
-	FirstStart   bool          `yaml:"first_start" default:"false" doc:"whether the whole system starts for the first time, so that no caller has a broken stream yet"`
-	MemoryMB     int64         `yaml:"memory_mb" default:"0" unit:"megabytes" doc:"memory that the process may take; 0 = no limit" check:"min 0"`
-	BodiesMB     int64         `yaml:"bodies_mb" default:"0" unit:"megabytes" doc:"callers' bodies of more than 16 KiB in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
-	HeldMB       int64         `yaml:"held_mb" default:"0" unit:"megabytes" doc:"endpoints' answers in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
+	Callers          string        `yaml:"callers" doc:"listener for callers" check:"address"`
+	Readiness        string        `yaml:"readiness" doc:"listener where the platform asks for readiness" check:"address"`
+	Peers            string        `yaml:"peers" doc:"address for the other entries: reports over UDP, reads of the store's topics over TCP" check:"address"`
+	Operators        string        `yaml:"operators" doc:"listener for metrics and the state dump; none where it is not given" check:"optional address"`
+	Store            string        `yaml:"store" doc:"address of the platform's store" check:"address"`
+	TrustKeysFor     time.Duration `yaml:"trust_keys_for" default:"0s" unit:"duration" doc:"how long after the newest configuration was known for certain keys are trusted; 0 = for ever" check:"min 0s"`
+	ApplyWithin      time.Duration `yaml:"apply_within" default:"2s" unit:"duration" doc:"how long after its confirmation a version of the configuration may not yet be in force" check:"min 100ms"`
+	LeaveWithin      time.Duration `yaml:"leave_within" default:"2s" unit:"duration" doc:"how long after an endpoint was listed as leaving it may still get new work" check:"min 100ms"`
+	StopWithin       time.Duration `yaml:"stop_within" default:"8s" unit:"duration" doc:"time from a signal to the end of the process" check:"min 1s"`
+	RetryRatio       float64       `yaml:"retry_ratio" default:"0.2" unit:"sends a request" doc:"further sends that all entries together may make, by service" check:"min 0"`
+	RetryBurst       float64       `yaml:"retry_burst" default:"20" unit:"sends" doc:"further sends beyond the ratio that all entries together may make" check:"min 0"`
+	CapSlack         float64       `yaml:"cap_slack" default:"0" unit:"of the caps" doc:"what a usage cap may be exceeded by, for all entries together" check:"min 0"`
+	FirstStart       bool          `yaml:"first_start" default:"false" doc:"whether the whole system starts for the first time, so that no caller has a broken stream yet"`
+	MemoryMB         int64         `yaml:"memory_mb" default:"0" unit:"megabytes" doc:"memory that the process may take; 0 = no limit" check:"min 0"`
+	BodiesMB         int64         `yaml:"bodies_mb" default:"0" unit:"megabytes" doc:"callers' bodies of more than 16 KiB in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
+	StatedLoad       string        `yaml:"stated_load" default:"auto" doc:"use what endpoints state of their load and pace; auto: for services of which an endpoint states its pace" check:"one of auto on off"`
+	EngineMemory     string        `yaml:"engine_memory" default:"auto" doc:"send no request to an engine whose memory it may not fit into; auto as for stated_load" check:"one of auto on off"`
+	AccountSharing   string        `yaml:"account_sharing" default:"auto" doc:"client accounts of equal rank share scarce slots by work; auto as for stated_load" check:"one of auto on off"`
+	DomainPreference string        `yaml:"domain_preference" default:"auto" doc:"prefer endpoints of the own failure domain, and leave it where waiting costs more; auto as for stated_load" check:"one of auto on off"`
+	HeldMB           int64         `yaml:"held_mb" default:"0" unit:"megabytes" doc:"endpoints' answers in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
 }
