front: an answer that was reset, or whose status is no HTTP status, is no answer

Callers got the part of an answer as a whole one: an endpoint answered a long upload at once with a 200 without a length, sent seven bytes and reset the connection while the upload was still being written. The write in the background took the error of the connection, and the reader saw an orderly end. The end of an answer without a length is now taken for complete only if the connection was not reset (state of the TCP connection). An answer that ends in order before the upload has been read is delivered as before.

Status 000, 001 and 099 were taken for interim answers, so that the caller waited until the route's timeout (504); 600 and 999 reached the caller. The attempt now fails at once (502).

--- a/coord/scheduler/status.go
+++ b/coord/scheduler/status.go
@@ -15,6 +15,10 @@
 	WorkMS       float64 `json:"work_ms"`
 	FailureRate  float64 `json:"failure_rate"`
 	EjectedMS    int64   `json:"ejected_ms,omitempty"`
+	// Stated is the endpoint's last statement of its load and StatedAgeMS its age, where such
+	// statements are used.
+	Stated      *Statement `json:"stated,omitempty"`
+	StatedAgeMS int64      `json:"stated_age_ms,omitempty"`
 }
 
 // Status returns the state of all endpoints, sorted by ID.
@@ -26,6 +30,9 @@
 			EventMS: milliseconds(e.eventInterval), WorkMS: milliseconds(e.serviceTime), FailureRate: e.failureRate,
 			EjectedMS: max(e.ejectedUntil-now, 0).Milliseconds(),
 		}
+		if e.statedAt > 0 && s.enabled(s.cfg.StatedLoad, e.Service) {
+			status.Stated, status.StatedAgeMS = &e.statement, (now - e.statedAt).Milliseconds()
+		}
 		list = append(list, status)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Endpoint < list[j].Endpoint })
--- a/daemon/front/breaks.go
+++ b/daemon/front/breaks.go
@@ -51,12 +51,15 @@
 }
 
 // endedWithEndpoint reports whether the end of an answer may be that of its endpoint: the answer
-// ended with its connection, and nothing listens at the address any more, or another incarnation
-// does. The latter is what a front sees that was suspended until the endpoint was back.
+// ended with its connection, and that was reset, or nothing listens at the address any more, or
+// another incarnation does. The last is what a front sees that was suspended until the endpoint was back.
 func (d *delivery) endedWithEndpoint(p scheduler.Placement, answered *backend.Conn, resp *http.Response) bool {
 	if !backend.IsCloseDelimited(resp) {
 		return false
 	}
+	if answered.WasReset() {
+		return true
+	}
 	sleep(d.attemptContext, endSettleTime)
 	ctx, cancel := context.WithTimeout(d.attemptContext, endProbeTimeout)
 	defer cancel()
--- a/daemon/peer/backend/conn.go
+++ b/daemon/peer/backend/conn.go
@@ -30,6 +30,8 @@
 	maxSkippedAnswers = 3
 	// maxInterimAnswers bounds the answers with a status below 200 before the answer to a request.
 	maxInterimAnswers = 16
+	// maxStatus is the largest status of HTTP.
+	maxStatus = 599
 	// maxHeadBytes bounds the status line and header of an answer.
 	maxHeadBytes = 64 << 10
 	// maxHeadLines bounds their lines, each of which takes far more memory than a short one has bytes.
@@ -163,6 +165,29 @@
 	return err == nil && idle
 }
 
+// tcpClosed is the state of a TCP connection that was reset (TCP_CLOSE of the kernel).
+const tcpClosed = 7
+
+// WasReset reports whether the peer reset the connection. After its end has been read, that cannot be
+// told from the error alone: a write that fails because of the reset, in another goroutine, takes the
+// error, and a read reports an orderly end afterwards.
+func (c *Conn) WasReset() bool {
+	socket, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClosed
+	})
+	return err == nil && reset
+}
+
 // Request is a request to an endpoint.
 type Request struct {
 	Method, URI, Host string
@@ -230,6 +255,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			return nil, errors.Errorf("answer: %d is no HTTP status", resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimAnswers {
 				return nil, errors.New("answer: too many interim answers before it")
