--- a/coord/scheduler/status.go
+++ b/coord/scheduler/status.go
@@ -31,7 +31,8 @@
 			EjectedMS: max(e.ejectedUntil-now, 0).Milliseconds(),
 		}
 		if e.statedAt > 0 && s.enabled(s.cfg.StatedLoad, e.Service) {
-			status.Stated, status.StatedAgeMS = &e.statement, (now - e.statedAt).Milliseconds()
+			stated := e.statement
+			status.Stated, status.StatedAgeMS = &stated, (now - e.statedAt).Milliseconds()
 		}
 		list = append(list, status)
 	}
