scheduler, load: endpoints' statements of their load and pace count

Callers saw requests go to engines that were full, or whose machine had become slow, while others had room: other fronts' reports are 20 to 350 ms old, and a learned speed follows a burst of slowness only when the requests there have missed their time.

The new package coord/load estimates what an endpoint holds from own runs, reports and the endpoint's statement, each by its age, and by how much work there takes longer than its learned speeds say. A statement expires after 500 ms; it moves the count by at most half of the slots up or a quarter down; a constant difference to the reports, or a constant pace, has no effect. A slow pace changes the choice of the endpoint and not until when a request may be started.

Metrics primrosespoke_endpoint_statements_used and _ignored, log line endpoint_load_belief_changed, and believed and slowdown in the dump.

--- a/coord/scheduler/bench_test.go
+++ b/coord/scheduler/bench_test.go
@@ -13,6 +13,19 @@
 // one, are taken by other entries, and requests wait. With free slots each plan places what fits, so
 // the requests are queued anew.
 func BenchmarkPlan(b *testing.B) {
+	benchmarkPlan(b, func(*scheduler.Scheduler, []directory.Endpoint) {})
+}
+
+// BenchmarkPlanStated measures the same with engines that state their load and pace.
+func BenchmarkPlanStated(b *testing.B) {
+	benchmarkPlan(b, func(s *scheduler.Scheduler, rows []directory.Endpoint) {
+		for i, e := range rows {
+			s.ObserveStatement(time.Millisecond, e.ID, e.Born, scheduler.Statement{Running: 1 + i%2, Slots: 2, Pace: 1 + float64(i%3), HasPace: true})
+		}
+	})
+}
+
+func benchmarkPlan(b *testing.B, prepare func(*scheduler.Scheduler, []directory.Endpoint)) {
 	for _, size := range []struct {
 		endpoints, peers, waiting int
 		half                      bool
@@ -44,6 +57,7 @@
 				for id := range uint64(size.waiting) {
 					s.Enqueue(streamRequest(id, 0))
 				}
+				prepare(s, rows)
 				return s
 			}
 			s := fill()
--- a/coord/scheduler/endpoint.go
+++ b/coord/scheduler/endpoint.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/load"
 )
 
 const (
@@ -56,8 +57,9 @@
 	failureRate          float64         // moving average of the share of failed attempts
 	connectFailures      int             // consecutive failures to reach the endpoint
 	ejectedUntil         time.Duration   // gets no new requests before
-	statement            Statement       // the last one
-	statedAt             time.Duration   // when it came
+	stated               load.Endpoint   // what it stated of its load
+	verdict              load.Verdict    // on the last statement
+	slow                 bool            // by the last statement
 	statesPace           bool            // some statement of this incarnation carried a pace
 	lastByteAt           time.Duration
 }
@@ -98,24 +100,27 @@
 	return tokens
 }
 
-func (e *endpoint) observeEventInterval(sample time.Duration) {
+func (e *endpoint) observeEventInterval(now, sample time.Duration) {
 	if sample <= 0 {
 		return
 	}
 	if e.eventInterval == 0 {
 		e.eventInterval = sample
+		e.stated.Learned(now, 1)
 		return
 	}
+	e.stated.Learned(now, eventIntervalGain)
 	e.eventInterval += time.Duration(eventIntervalGain * float64(sample-e.eventInterval))
 }
 
 // observePromptTime records how long a first event took, with the number of prompt
-// tokens up to and including the request's own.
-func (e *endpoint) observePromptTime(tokens int, spent time.Duration) {
+// tokens up to and including the request's own. slowdown is by how much work takes longer there than
+// the learned time between events says.
+func (e *endpoint) observePromptTime(tokens int, spent time.Duration, slowdown float64) {
 	if e.eventInterval <= 0 || spent <= e.eventInterval || tokens < 1000 {
 		return
 	}
-	sample := float64(tokens) * float64(e.eventInterval) / float64(spent)
+	sample := float64(tokens) * float64(e.eventInterval) * slowdown / float64(spent)
 	sample = min(max(sample, defaultPromptTokensPerEvent/4), defaultPromptTokensPerEvent*4)
 	if e.promptTokensPerEvent == 0 {
 		e.promptTokensPerEvent = defaultPromptTokensPerEvent
@@ -123,11 +128,13 @@
 	e.promptTokensPerEvent += serviceTimeGain * (sample - e.promptTokensPerEvent)
 }
 
-func (e *endpoint) observeServiceTime(spent time.Duration) {
+func (e *endpoint) observeServiceTime(now, spent time.Duration) {
 	if e.serviceTime == 0 {
 		e.serviceTime = spent
+		e.stated.Learned(now, 1)
 		return
 	}
+	e.stated.Learned(now, serviceTimeGain)
 	e.serviceTime += time.Duration(serviceTimeGain * float64(spent-e.serviceTime))
 }
 
--- a/coord/scheduler/engine_test.go
+++ b/coord/scheduler/engine_test.go
@@ -11,6 +11,7 @@
 	id         string
 	slots      int
 	slowdown   float64 // multiplies all times
+	pace       float64 // multiplies all times too, for a while; 0 = 1
 	queue      []*simRun
 	running    []*simRun
 	nextStepAt time.Duration
@@ -52,7 +53,7 @@
 		budget -= read
 	}
 	took += time.Duration(float64(simPrefillChunk-budget) / simPromptRate * float64(time.Second))
-	e.nextStepAt = now + time.Duration(float64(took)*e.slowdown)
+	e.nextStepAt = now + time.Duration(float64(took)*e.slowdown*e.currentPace())
 	var left []*simRun
 	for _, r := range e.running {
 		if r.prompt > 0 {
@@ -78,6 +79,13 @@
 	return events, ended
 }
 
+func (e *simEngine) currentPace() float64 {
+	if e.pace == 0 {
+		return 1
+	}
+	return e.pace
+}
+
 // remove cancels the run of a call whose caller has gone, and returns it; nil = none.
 func (e *simEngine) remove(call *simCall) *simRun {
 	var removed *simRun
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -68,11 +68,13 @@
 	slots               int
 	running             int
 	pendingPromptTokens int
-	eventInterval       float64 // seconds
-	promptRate          float64 // prompt tokens per second
-	serviceTime         float64 // seconds
-	bias                float64 // factor of the expected time to the first event
-	restricted          bool    // by the gate, to rate requests per second from all entries
+	eventInterval       float64       // seconds
+	promptRate          float64       // prompt tokens per second
+	serviceTime         float64       // seconds
+	slowdown            float64       // by which work takes longer now than the endpoint's learned speeds say
+	statedAge           time.Duration // of the statement that was used; 0 = none
+	bias                float64       // factor of the expected time to the first event
+	restricted          bool          // by the gate, to rate requests per second from all entries
 	rate                float64
 	open                bool          // as far as the gate is concerned
 	restsUntil          time.Duration // see Gate.RestsUntil; 0 = it does not rest
@@ -179,6 +181,7 @@
 func (s *Scheduler) pool(now time.Duration, service string) *pool {
 	p := &pool{reportAge: s.peers.oldestAge(now)}
 	info := s.services[service]
+	stated := s.enabled(s.cfg.StatedLoad, service)
 	var intervals, serviceTimes []float64
 	for _, e := range s.endpointsOf(service) {
 		p.ownRunning += len(e.runs)
@@ -192,10 +195,16 @@
 			continue
 		}
 		peerLoad := s.peers.loads[e.ID]
-		c := &candidate{endpoint: e, slots: e.Slots, running: len(e.runs) + peerLoad.Running, pendingPromptTokens: e.pendingPromptTokens() + peerLoad.PromptTokens}
+		c := &candidate{endpoint: e, slots: e.Slots, running: len(e.runs) + peerLoad.Running, pendingPromptTokens: e.pendingPromptTokens() + peerLoad.PromptTokens, slowdown: 1}
 		if c.slots == 0 {
 			c.slots = max(info.Slots, 1)
 		}
+		if stated {
+			c.running, c.slowdown = s.believedRunning(now, e), e.stated.Factor(now)
+			if _, at, known := e.stated.Last(); known {
+				c.statedAge = max(now-at, 1)
+			}
+		}
 		c.rate, c.restricted = s.gate.Rate(e.ID)
 		c.restsUntil, _ = s.gate.RestsUntil(now, e.ID)
 		c.open, c.due = s.gate.Open(now, e.ID), s.gate.Due(now, e.ID)
@@ -232,7 +241,9 @@
 
 // observeBest takes a candidate into account for what the fastest one can do.
 func (p *pool) observeBest(c *candidate) {
-	interval := c.leastEventInterval()
+	// The time until which a request can be started, and so whether it is refused, does not follow from
+	// a pace that is slower than usual: it may be false, and lasts shorter than callers wait.
+	interval := c.leastEventInterval() / max(c.slowdown, 1)
 	p.bestEventInterval = min(p.bestEventInterval, interval)
 	p.bestPromptRate = max(p.bestPromptRate, c.promptRate*c.eventInterval/interval)
 }
@@ -241,7 +252,7 @@
 // may be as fast as is assumed before any.
 func (c *candidate) leastEventInterval() float64 {
 	if c.endpoint.eventInterval == 0 {
-		return min(c.eventInterval, defaultEventInterval.Seconds())
+		return min(c.eventInterval, defaultEventInterval.Seconds()*c.slowdown)
 	}
 	return c.eventInterval
 }
@@ -258,6 +269,8 @@
 	if c.endpoint.promptTokensPerEvent > 0 {
 		tokensPerEvent = c.endpoint.promptTokensPerEvent
 	}
+	c.eventInterval *= c.slowdown
+	c.serviceTime *= c.slowdown
 	c.promptRate = tokensPerEvent / c.eventInterval
 }
 
@@ -327,7 +340,7 @@
 func (s *Scheduler) place(now time.Duration, r *Request, c *candidate, cost float64, p *pool) Placement {
 	placement := Placement{
 		Request: r.ID, Endpoint: c.endpoint.ID, Address: c.endpoint.Address, Born: c.endpoint.Born, Version: c.endpoint.Version, Waited: now - r.Arrived,
-		Running: c.running, Slots: c.slots, Score: cost, ReportAge: p.reportAge,
+		Running: c.running, Slots: c.slots, Score: cost, ReportAge: p.reportAge, StatedAge: c.statedAge, Slowdown: c.slowdown,
 		PendingPromptTokens: c.pendingPromptTokens, EventInterval: time.Duration(c.eventInterval * float64(time.Second)), PromptRate: c.promptRate,
 		ExpectedFirstEvent: time.Duration(c.firstEvent(r) * float64(time.Second)),
 	}
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -98,6 +98,10 @@
 	Score float64
 	// ReportAge is the age of the oldest report of another entry that was used.
 	ReportAge time.Duration
+	// StatedAge is the age of the endpoint's own statement of its load; 0 = none was used. Slowdown is by
+	// how much work there takes longer than its learned speeds say.
+	StatedAge time.Duration
+	Slowdown  float64
 	// Share is how many slots of a plain service this entry may use over time, while the demand
 	// of all entries exceeds them; 0 = it may use any.
 	Share float64
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -222,7 +222,7 @@
 				ahead += other.request.PromptTokens
 			}
 		}
-		r.endpoint.observePromptTime(ahead, now-r.sentAt)
+		r.endpoint.observePromptTime(ahead, now-r.sentAt, s.slowdown(now, r.endpoint))
 		s.observeBias(r, now-r.sentAt)
 	}
 	r.firstEventSeen = true
@@ -253,7 +253,7 @@
 func (s *Scheduler) Progress(now time.Duration, id uint64, gap time.Duration) {
 	if r := s.runs[id]; r != nil {
 		r.lastByteAt, r.endpoint.lastByteAt = now, now
-		r.endpoint.observeEventInterval(gap)
+		r.endpoint.observeEventInterval(now, gap)
 	}
 }
 
@@ -293,7 +293,7 @@
 		e.clearEjection()
 		e.observeOutcome(false)
 		if !r.request.Stream {
-			e.observeServiceTime(now - r.sentAt)
+			e.observeServiceTime(now, now-r.sentAt)
 		}
 	case Failed:
 		e.observeOutcome(true)
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -91,9 +91,10 @@
 	tokens, wastedTokens         int               // that engines worked on, and those of answers that were cut
 	calls                        []*simCall
 	placed, placedAtFull         int
-	idle, idleSamples            int // places while requests are refused, and all at that time
-	over, overSamples            int // runs beyond the slots, and slots, all the time
-	messages, messageBytes       int // between fronts, about places
+	placedAt                     map[string]int // by engine
+	idle, idleSamples            int            // places while requests are refused, and all at that time
+	over, overSamples            int            // runs beyond the slots, and slots, all the time
+	messages, messageBytes       int            // between fronts, about places
 }
 
 func (o outcome) fullShare() float64 { return float64(o.placedAtFull) / float64(max(o.placed, 1)) }
@@ -160,6 +161,8 @@
 	kinds               []requestKind // of requests
 	seed                int64         // of what fronts draw
 	trouble             func(w *simulation, now time.Duration)
+	states              func(w *simulation, e *simEngine) scheduler.Statement // nil = engines state nothing
+	statedLoad          scheduler.Mode
 }
 
 var (
@@ -188,7 +191,7 @@
 		retries: map[time.Duration][]*simCall{}, gaps: map[uint64][]time.Duration{},
 		mail: map[time.Duration][]func(){}, dead: map[int]bool{}, refusedAt: -time.Second,
 	}
-	w.result.byKind = map[string][3]int{}
+	w.result.byKind, w.result.placedAt = map[string][3]int{}, map[string]int{}
 	var rows []directory.Endpoint
 	for i := range w.deployment.engines {
 		id := fmt.Sprint("e", i)
@@ -316,6 +319,7 @@
 	f := w.fronts[r.front]
 	if r.generated == 1 {
 		r.call.firstEventAt = now
+		w.deliverStatement(now, r)
 		f.firstEvent(now, r.call.id)
 		return
 	}
@@ -332,7 +336,7 @@
 	for _, e := range w.engines {
 		for _, other := range e.running {
 			if other == r {
-				return e.slowdown
+				return e.slowdown * e.currentPace()
 			}
 		}
 	}
@@ -385,6 +389,7 @@
 		c := w.calls[one.Request]
 		e := w.engines[one.Endpoint]
 		w.result.placed++
+		w.result.placedAt[one.Endpoint]++
 		if len(e.queue)+len(e.running) >= e.slots {
 			w.result.placedAtFull++
 		}
@@ -435,7 +440,7 @@
 
 func newSchedulerPolicy(d deployment, i int, rows []directory.Endpoint) policy {
 	s := scheduler.New(scheduler.Config{
-		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin,
+		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin, StatedLoad: d.statedLoad,
 	}, rand.New(rand.NewSource(d.seed*1000+int64(i))))
 	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens}})
 	s.SetEndpoints(rows)
--- a/coord/scheduler/status.go
+++ b/coord/scheduler/status.go
@@ -19,6 +19,10 @@
 	// statements are used.
 	Stated      *Statement `json:"stated,omitempty"`
 	StatedAgeMS int64      `json:"stated_age_ms,omitempty"`
+	// Believed is how many requests the endpoint is believed to hold, and Slowdown by how much work there
+	// takes longer than the learned times above say.
+	Believed int     `json:"believed,omitempty"`
+	Slowdown float64 `json:"slowdown,omitempty"`
 }
 
 // Status returns the state of all endpoints, sorted by ID.
@@ -30,9 +34,9 @@
 			EventMS: milliseconds(e.eventInterval), WorkMS: milliseconds(e.serviceTime), FailureRate: e.failureRate,
 			EjectedMS: max(e.ejectedUntil-now, 0).Milliseconds(),
 		}
-		if e.statedAt > 0 && s.enabled(s.cfg.StatedLoad, e.Service) {
-			stated := e.statement
-			status.Stated, status.StatedAgeMS = &stated, (now - e.statedAt).Milliseconds()
+		if stated, at, known := e.stated.Last(); known && s.enabled(s.cfg.StatedLoad, e.Service) {
+			status.Stated, status.StatedAgeMS = &stated, (now - at).Milliseconds()
+			status.Believed, status.Slowdown = s.believedRunning(now, e), e.stated.Factor(now)
 		}
 		list = append(list, status)
 	}
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -78,6 +78,7 @@
 	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).Float64("share", p.Share).
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
+		Int64("stated_age_ms", p.StatedAge.Milliseconds()).Float64("slowdown", p.Slowdown).
 		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("granted", p.Granted).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
 		Int64("version", d.admission.Version).Msg("request_placed")
 }
@@ -249,7 +250,7 @@
 	}
 	d.reportLimit(p, head)
 	if head.Load != nil && !head.Misdirected {
-		d.front.send(statementMessage{endpoint: p.Endpoint, born: p.Born, statement: *head.Load})
+		d.front.send(statementMessage{endpoint: p.Endpoint, born: p.Born, statement: *head.Load, requestID: d.call.ID})
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		conn.MarkFailed(d.call.ID)
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -290,10 +290,18 @@
 	endpoint  string
 	born      int64
 	statement scheduler.Statement
+	requestID string // of the request whose answer carried it
 }
 
 func (m statementMessage) apply(c *control) {
-	c.scheduler.ObserveStatement(c.front.now(), m.endpoint, m.born, m.statement)
+	effect := c.scheduler.ObserveStatement(c.front.now(), m.endpoint, m.born, m.statement)
+	c.front.metrics.statementObserved(string(effect.Verdict))
+	if !effect.Changed {
+		return
+	}
+	c.front.log.Info().Str("request_id", m.requestID).Str("endpoint", m.endpoint).Str("verdict", string(effect.Verdict)).Bool("slow", effect.Slow).
+		Int("running", m.statement.Running).Int("waiting", m.statement.Waiting).Int("slots", m.statement.Slots).Float64("pace", m.statement.Pace).
+		Int64("age_before_ms", effect.Age.Milliseconds()).Float64("slowdown", effect.Factor).Int("believed", effect.Believed).Msg("endpoint_load_belief_changed")
 }
 
 // withdrawMessage removes a request whose caller has gone or whose deadline has passed.
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"primrosespoke.dev/coord/load"
 	"primrosespoke.dev/daemon/telemetry"
 )
 
@@ -26,6 +27,7 @@
 	waited, firstByte, total                 metric.Float64Histogram
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
+	statementsUsed, statementsIgnored        metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -51,6 +53,8 @@
 		silentHomes:            i.Counter("primrosespoke_silent_homes", "{home}", "homes of places that stopped answering"),
 		answersGivenUp:         i.Counter("primrosespoke_answers_given_up", "{answer}", "answers of endpoints that were given up, since they were too long or there was no room for them, by reason"),
 		bodiesRefused:          i.Counter("primrosespoke_bodies_refused", "{request}", "requests refused since there was no room for their body"),
+		statementsUsed:         i.Counter("primrosespoke_endpoint_statements_used", "{statement}", "statements of endpoints on their load that were used"),
+		statementsIgnored:      i.Counter("primrosespoke_endpoint_statements_ignored", "{statement}", "statements of endpoints on their load that were ignored, by reason"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -129,6 +133,15 @@
 	m.rests.Add(context.Background(), 1)
 }
 
+// statementObserved counts a statement of an endpoint on its load.
+func (m *metrics) statementObserved(verdict string) {
+	if verdict == string(load.Used) {
+		m.statementsUsed.Add(context.Background(), 1)
+		return
+	}
+	m.statementsIgnored.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", verdict)))
+}
+
 // permitsGranted counts permits that were granted to another entry.
 func (m *metrics) permitsGranted(n int) {
 	m.permits.Add(context.Background(), int64(n))
