scheduler, spill: what exceeds a failure domain leaves it, one way, and the rest stays

Endpoints were dealt to groups of fronts by hash. With 22 fronts and 41 engines in 4 domains, 0.65 to 0.75 of the requests went to another domain, and the domains exchanged them crosswise.

The excess of all domains is divided among the free slots of all, domains that send don't take, and beyond the slots of all domains the demand of each counts in proportion. It is used where domain_preference is in force for the service; with it off, nothing changes.

--- a/coord/scheduler/desk_simulation_test.go
+++ b/coord/scheduler/desk_simulation_test.go
@@ -24,6 +24,7 @@
 	leaves    time.Duration
 	cutOff    bool // a fifth of the fronts and the others do not hear each other
 	seed      int64
+	domains   *deskDomains // nil = one failure domain
 }
 
 const (
@@ -130,7 +131,7 @@
 		w.endpoints = append(w.endpoints, &deskServer{id: fmt.Sprint("d", i)})
 	}
 	for i := range l.fronts {
-		s := scheduler.New(scheduler.Config{ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin}, rand.New(rand.NewSource(l.seed*1000+int64(i))))
+		s := scheduler.New(l.domains.configure(scheduler.Config{ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin}, i), rand.New(rand.NewSource(l.seed*1000+int64(i))))
 		s.SetServices(map[string]scheduler.ServiceInfo{"desk": {}})
 		s.SetEndpoints(w.rows())
 		var others []string
@@ -140,6 +141,7 @@
 			}
 		}
 		s.SetEntries(frontName(i), others)
+		l.domains.tell(s, l.fronts)
 		w.fronts = append(w.fronts, &deskFront{s: s, nextReport: time.Duration(w.rng.Int63n(int64(w.reportInterval())))})
 	}
 	return w
@@ -149,7 +151,7 @@
 	var rows []directory.Endpoint
 	for _, e := range w.endpoints {
 		if !e.left {
-			rows = append(rows, directory.Endpoint{ID: e.id, Service: "desk", Address: e.id, Slots: deskSlots, Born: 1})
+			rows = append(rows, directory.Endpoint{ID: e.id, Service: "desk", Address: e.id, FailureDomain: w.domains.of(e.id), Slots: deskSlots, Born: 1})
 		}
 	}
 	return rows
@@ -193,7 +195,7 @@
 	if w.now > deskLength {
 		return
 	}
-	w.after(time.Duration(w.load.ExpFloat64()/(w.perSecond*deskFactor(w.now))*float64(time.Second)), w.arrive)
+	w.after(time.Duration(w.load.ExpFloat64()/(w.perSecond*w.domains.total(w.now))*float64(time.Second)), w.arrive)
 	if w.now == 0 {
 		return
 	}
@@ -202,12 +204,15 @@
 		work *= 10
 	}
 	w.result.sent++
-	w.submit(&deskCall{firstSentAt: w.now, work: time.Duration(work * float64(time.Second))})
+	w.submit(&deskCall{firstSentAt: w.now, front: w.domains.drawFront(w), work: time.Duration(work * float64(time.Second))})
 }
 
 func (w *deskSimulation) submit(c *deskCall) {
 	w.lastID++
-	c.id, c.front, c.endpoint = w.lastID, w.rng.Intn(len(w.fronts)), nil
+	if w.domains == nil {
+		c.front = w.rng.Intn(len(w.fronts))
+	}
+	c.id, c.endpoint = w.lastID, nil
 	w.calls[c.id] = c
 	w.fronts[c.front].s.Enqueue(scheduler.Request{
 		ID: c.id, Service: "desk", Arrived: w.now,
@@ -234,6 +239,7 @@
 				c.endpoint = e
 			}
 		}
+		w.domains.place(c)
 		w.after(deskNetwork, func() { w.reach(c) })
 	}
 	for _, one := range p.Refusals {
@@ -383,3 +389,72 @@
 		}
 	}
 }
+
+// deskDomains is the load by failure domain. nil is a load without domains.
+type deskDomains struct {
+	mode            scheduler.Mode
+	factor          func(domain int, now time.Duration) float64 // of the load of a domain
+	placed, outside int
+}
+
+func (d *deskDomains) configure(cfg scheduler.Config, front int) scheduler.Config {
+	if d != nil {
+		cfg.DomainPreference, cfg.FailureDomain = d.mode, domainName(frontDomain(front))
+	}
+	return cfg
+}
+
+func (d *deskDomains) tell(s *scheduler.Scheduler, fronts int) {
+	if d == nil {
+		return
+	}
+	domains := map[string]string{}
+	for j := range fronts {
+		domains[frontName(j)] = domainName(frontDomain(j))
+	}
+	s.SetFailureDomains(domains)
+}
+
+func (d *deskDomains) of(endpoint string) string {
+	if d == nil {
+		return ""
+	}
+	var i int
+	_, _ = fmt.Sscanf(endpoint, "d%d", &i)
+	return domainName(i % domainCount)
+}
+
+// total returns the load of all domains relative to the usual one.
+func (d *deskDomains) total(now time.Duration) float64 {
+	if d == nil {
+		return deskFactor(now)
+	}
+	sum := 0.0
+	for i := range domainCount {
+		sum += d.factor(i, now) / domainCount
+	}
+	return sum
+}
+
+// drawFront draws the front of a call by the load of its domain. Retries go to the same front.
+func (d *deskDomains) drawFront(w *deskSimulation) int {
+	if d == nil {
+		return 0
+	}
+	u, domain := w.load.Float64()*d.total(w.now)*domainCount, 0
+	for domain < domainCount-1 && u > d.factor(domain, w.now) {
+		u -= d.factor(domain, w.now)
+		domain++
+	}
+	return domain + domainCount*w.load.Intn((len(w.fronts)-domain+domainCount-1)/domainCount)
+}
+
+func (d *deskDomains) place(c *deskCall) {
+	if d == nil {
+		return
+	}
+	d.placed++
+	if d.of(c.endpoint.id) != domainName(frontDomain(c.front)) {
+		d.outside++
+	}
+}
--- a/coord/scheduler/groups.go
+++ b/coord/scheduler/groups.go
@@ -31,8 +31,12 @@
 }
 
 // Group returns the names of the other entries in this entry's group; all others if
-// there is only one group.
+// there is only one group. Where the own failure domain is preferred, a group is a domain, or a
+// part of a large one.
 func (s *Scheduler) Group() []string {
+	if s.PrefersDomain() {
+		return s.domainGroup()
+	}
 	group := assignGroups(s.entries, groupCount(len(s.entries)))
 	var names []string
 	for _, name := range s.entries {
--- a/coord/scheduler/pace.go
+++ b/coord/scheduler/pace.go
@@ -100,6 +100,10 @@
 	account.running = p.ownRunning
 	account.advance(now, p.serviceTime)
 	p.staleness = s.peers.meanAge(now).Seconds() / p.serviceTime
+	if p.domains != nil {
+		s.paceInDomain(service, p, account.rate(now))
+		return
+	}
 	slots := float64(p.slots) * (1 + pacedQueueShare*min(p.staleness, 1))
 	own := p.ownRunning + len(s.queues[service])
 	if own+s.peers.demand[service] <= p.slots {
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -72,6 +72,7 @@
 	promptRate          float64 // prompt tokens per second
 	serviceTime         float64 // seconds
 	bias                float64 // factor of the expected time to the first event
+	home                bool    // in the own failure domain, if that is preferred
 	restricted          bool    // by the gate, to rate requests per second from all entries
 	rate                float64
 	open                bool          // as far as the gate is concerned
@@ -127,6 +128,7 @@
 	reportAge         time.Duration // age of the oldest report of another entry
 	pacer             *pacer        // of a plain service; nil for engines
 	homes             bool          // places of the endpoints are given out by their homes
+	domains           *domainPool   // nil = endpoints are chosen without regard to failure domains
 	staleness         float64       // mean age of the reports of other entries, in times that a run of a plain service lasts
 }
 
@@ -209,6 +211,7 @@
 	p.serviceTime = median(serviceTimes, defaultServiceTime.Seconds())
 	p.promptRate = defaultPromptTokensPerEvent / p.eventInterval
 	p.bestEventInterval, p.bestPromptRate = p.eventInterval, p.promptRate
+	s.planDomains(now, service, p)
 	if !info.Engine && !p.restricted {
 		s.pace(now, service, p)
 	}
@@ -272,6 +275,9 @@
 // ownLimit returns how many requests this entry may run at the service's endpoints:
 // while total demand exceeds the slots, its share of them by demand.
 func (s *Scheduler) ownLimit(service string, p *pool) int {
+	if p.domains != nil {
+		return p.domains.ownLimit()
+	}
 	own := p.ownRunning + len(s.queues[service])
 	total := own + s.peers.demand[service]
 	slots := p.slots + s.cfg.Overcommit*len(p.candidates)
@@ -286,7 +292,7 @@
 	if p.pacer != nil {
 		return p.pacer.allows(p.serviceTime)
 	}
-	return p.ownRunning < p.ownLimit
+	return p.domains != nil || p.ownRunning < p.ownLimit // see chooseByDomain
 }
 
 // chooseEndpoint returns the endpoint with the lowest expected cost, and that cost. It
@@ -309,6 +315,9 @@
 			suitable = append(suitable, c)
 		}
 	}
+	if p.domains != nil {
+		return s.chooseByDomain(now, r, p, suitable)
+	}
 	for _, c := range s.comparable(p, suitable) {
 		cost := s.cost(now, r, c)
 		switch {
@@ -344,6 +353,9 @@
 		s.places.Use(now, c.endpoint.ID)
 		c.granted--
 	}
+	if placement.Outside = s.cfg.FailureDomain != "" && !s.isHome(c.endpoint); p.domains != nil {
+		p.domains.placedIn(c.endpoint.FailureDomain, s.isHome(c.endpoint))
+	}
 	if c.running++; !c.available(s.cfg.Overcommit) {
 		p.openCandidates--
 	}
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -101,6 +101,8 @@
 	// Share is how many slots of a plain service this entry may use over time, while the demand
 	// of all entries exceeds them; 0 = it may use any.
 	Share float64
+	// Outside is set if the endpoint is in another failure domain than this entry.
+	Outside bool
 	// Granted is set if the home of the endpoint gave a place for it.
 	Granted bool
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -98,6 +98,10 @@
 	wants            map[string]want              // places to ask for, by endpoint
 	withheldSince    time.Duration                // when Withhold was first called since the last Plan, if withheld
 	withheld         bool
+	domainOf         map[string]string            // failure domains of the other entries
+	preferred        map[string]bool              // by service whose endpoints are marked by domain
+	spills           map[string]*domainPreference // by service
+	spillChanges     []SpillChange                // since SpillChanges was last called
 }
 
 // New returns a scheduler without endpoints.
@@ -108,6 +112,7 @@
 		queues: map[string][]*Request{}, peers: newPeers(), biases: map[string]*bias{}, started: map[string]int{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
 		pacers: map[string]*pacer{}, wants: map[string]want{}, parts: map[string]endpointParts{},
 		gate: openGate{}, restricted: map[string]*restrictedDemand{},
+		preferred: map[string]bool{}, spills: map[string]*domainPreference{},
 	}
 }
 
@@ -149,6 +154,10 @@
 		}
 		for name, list := range s.byService {
 			slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+			if s.preferred[name] = s.prefersDomain(name, list); s.preferred[name] {
+				s.assignToDomain(name, list)
+				continue
+			}
 			s.assignToGroups(name, list)
 		}
 	}
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -160,6 +160,7 @@
 	kinds               []requestKind // of requests
 	seed                int64         // of what fronts draw
 	trouble             func(w *simulation, now time.Duration)
+	domains             *domainLoad // nil = one failure domain
 }
 
 var (
@@ -265,7 +266,9 @@
 			w.addArrivals(now)
 		}
 		for _, c := range w.retries[now] {
-			c.retried, c.front = true, w.drawFront()
+			if c.retried = true; w.domains == nil { // with domains it returns to the same front
+				c.front = w.drawFront()
+			}
 			w.submit(now, c)
 		}
 		delete(w.retries, now)
@@ -385,6 +388,9 @@
 		c := w.calls[one.Request]
 		e := w.engines[one.Endpoint]
 		w.result.placed++
+		if w.domains != nil && !w.domains.place(w, now, c, one) {
+			continue
+		}
 		if len(e.queue)+len(e.running) >= e.slots {
 			w.result.placedAtFull++
 		}
@@ -394,6 +400,9 @@
 		c := w.calls[one.Request]
 		delete(w.calls, one.Request)
 		w.refusedAt = now
+		if w.domains != nil {
+			w.domains.refuse(w, now, c)
+		}
 		timeLeft := c.firstSentAt + c.kind.deadline - now
 		after := min(one.RetryAfter, timeLeft/3)
 		if c.retried || timeLeft <= 0 {
@@ -416,7 +425,7 @@
 		for j, to := range w.fronts {
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
-			}); ok && i != j && (!group || slices.Contains(groupNames, frontName(j))) {
+			}); ok && i != j && (w.domains == nil || w.domains.hears(now, i, j)) && (!group || slices.Contains(groupNames, frontName(j))) {
 				other.peer(now, frontName(i), report)
 			}
 		}
@@ -434,9 +443,12 @@
 }
 
 func newSchedulerPolicy(d deployment, i int, rows []directory.Endpoint) policy {
-	s := scheduler.New(scheduler.Config{
-		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin,
-	}, rand.New(rand.NewSource(d.seed*1000+int64(i))))
+	return newSchedulerPolicyWith(d, i, rows, scheduler.Config{})
+}
+
+func newSchedulerPolicyWith(d deployment, i int, rows []directory.Endpoint, cfg scheduler.Config) *adapter {
+	cfg.ReportTTL, cfg.RefuseMargin = scheduler.DefaultReportTTL, scheduler.DefaultRefuseMargin
+	s := scheduler.New(cfg, rand.New(rand.NewSource(d.seed*1000+int64(i))))
 	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens}})
 	s.SetEndpoints(rows)
 	var others []string
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -61,6 +61,7 @@
 	d.attemptWritingSince, d.attemptSentAt = 0, 0
 	d.triedEndpoints[p.Endpoint] = true
 	d.logPlaced(p)
+	d.front.metrics.placedIn(d.service, p.Outside)
 	result, outcome := d.exchange(p)
 	if result.broken {
 		d.reportBreak(p)
@@ -75,7 +76,7 @@
 
 // logPlaced logs the placement with the values that the scheduler based it on.
 func (d *delivery) logPlaced(p scheduler.Placement) {
-	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).Float64("share", p.Share).
+	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Bool("outside_domain", p.Outside).Str("endpoint_version", p.Version).Float64("share", p.Share).
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
 		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("granted", p.Granted).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -155,6 +155,7 @@
 	c.assessConfiguration(now)
 	c.reviewHeld()
 	c.plan()
+	c.reviewDomainPreference()
 	c.sendReports(now)
 	c.sendOrigins(now)
 	c.saveOrigins(now)
@@ -182,6 +183,7 @@
 	} else {
 		plan = c.scheduler.Plan(now)
 	}
+	c.logSpill()
 	for _, p := range plan.Placements {
 		c.decide(p.Request, decision{placement: &p})
 	}
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -172,6 +172,17 @@
 	return names
 }
 
+// failureDomains returns the failure domains of the entries whose rows were read.
+func (m *members) failureDomains() map[string]string {
+	domains := map[string]string{}
+	for id, s := range m.all {
+		if s.FailureDomain != "" {
+			domains[id] = s.FailureDomain
+		}
+	}
+	return domains
+}
+
 // count returns the number of entries, including this one.
 func (m *members) count() int {
 	return len(m.all) + 1
@@ -217,10 +228,11 @@
 		c.limiter.SetPeers(now, names)
 	}
 	c.scheduler.SetEntries(c.front.config.ID, names)
+	c.scheduler.SetFailureDomains(c.members.failureDomains())
 	for _, topic := range []Topic{TopicEndpoints, TopicConfiguration} {
 		c.source(topic).RetainPeers(func(name string) bool { return c.members.all[name] != nil })
 	}
-	c.reporting.group = c.scheduler.Group()
+	c.updateReportGroup()
 	c.tellOrigins(c.origins.Running()...) // their homes may be others now
 	for _, b := range c.budgets {
 		b.Resize(c.retryBurst())
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -129,6 +129,7 @@
 	Endpoints          []directory.Endpoint       `json:"endpoints"`
 	Loads              []scheduler.EndpointStatus `json:"loads"`
 	Waiting            map[string]int             `json:"waiting"`
+	Spill              []scheduler.SpillStatus    `json:"domain_spill,omitempty"` // what leaves the failure domain
 	CapLevels          map[string]float64         `json:"cap_levels"`
 	Limits             []limitDump                `json:"endpoint_limits,omitempty"`
 	Places             []places.EndpointStatus    `json:"places,omitempty"`              // of model engines
@@ -187,7 +188,7 @@
 	d := Dump{
 		ID: c.front.config.ID, Incarnation: c.front.incarnation, NotReady: c.front.notReady(),
 		Members: map[string]memberDump{}, Endpoints: c.directory.All(), Loads: c.scheduler.Status(now),
-		Waiting: c.scheduler.QueueLengths(), CapLevels: c.limiter.Levels(now),
+		Waiting: c.scheduler.QueueLengths(), Spill: c.scheduler.SpillStatus(), CapLevels: c.limiter.Levels(now),
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
 	}
 	d.addHeld(c.quarantine.Held())
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -72,6 +72,7 @@
 	lastFullReport  time.Duration
 	sequence        uint64
 	fullReports     uint64
+	byDomain        bool // the group is that of the own failure domain
 	urgent          bool // evidence about a crash does not wait for the next full report
 }
 
