--- a/daemon/internal/verdict/main.go
+++ b/daemon/internal/verdict/main.go
@@ -89,7 +89,10 @@
 	case "output", "build-output":
 		r.output.WriteString(e.Output)
 	case "pass", "fail", "skip", "build-fail":
-		r.action = e.Action
+		// A package may run more than once; a later pass does not take back a failure.
+		if r.action != "fail" && r.action != "build-fail" {
+			r.action = e.Action
+		}
 		if e.Test == "" {
 			fmt.Fprintf(progress, "%-5s %s %.1fs\n", e.Action, e.Package, e.Elapsed)
 		}
