front: what clients take of connections and memory is bounded

Callers saw a front that ended or served nobody while hostile clients sent heads of very many short fields, bodies that stop short, or requests whose answers they did not read, also at the readiness, operators' and peers' addresses. Causes: no listener bounded its connections; a head was bounded by its bytes alone, of which a field of five takes some hundred in memory, and by 1 MiB at the other listeners; bodies up to 16 KiB had no time limit; answers of the front itself had no write timeout.

The new package daemon/intake wraps each listener: connections and what their heads and small bodies take are counted and bounded, heads, bodies, idle times and writes have limits, and where room is short the connection is cut that holds still and holds most. A request in progress is never cut for others; one that finds no room is refused as not run. Each listener has a room of its own, so that callers can't keep the readiness check from being answered. The limits of the configuration (header-bytes, header-timeout-ms, idle-timeout-ms) are enforced with a margin of half. Settings: front.clients_mb, front.connections, front.stall_timeout.

--- a/daemon/front/bodies.go
+++ b/daemon/front/bodies.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"primrosespoke.dev/daemon/intake"
 )
 
 const (
@@ -48,11 +50,22 @@
 	}
 	defer context.AfterFunc(d.front.endContext, d.endReading)()
 	body := http.MaxBytesReader(d.writer, d.request.Body, limit)
+	// A body that does not come must not keep its memory, nor its room once it is known to be large.
+	control := http.NewResponseController(d.writer)
+	if err := control.SetReadDeadline(time.Now().Add(d.bodyTimeLimit())); err != nil {
+		d.front.log.Debug().Err(err).Msg("read_deadline_not_set")
+	}
+	if d.front.endContext.Err() != nil {
+		d.endReading()
+	}
 	buffer := bytes.NewBuffer(make([]byte, 0, min(max(length, 0), smallBodyBytes)+bytes.MinRead))
 	_, err := io.CopyN(buffer, body, smallBodyBytes+1)
 	switch {
 	case err == io.EOF:
 		d.body = buffer.Bytes()
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			d.front.log.Debug().Err(err).Msg("read_deadline_not_set")
+		}
 		return ""
 	case err != nil:
 		return d.denyBody(err, limit)
@@ -67,10 +80,7 @@
 // longest body that is allowed.
 func (d *delivery) readLargeBody(beginning []byte, body io.Reader, length, limit int64) outcome {
 	memory := d.front.bodyMemory
-	timeLimit := defaultTimeLimit
-	if d.call.Deadline > 0 {
-		timeLimit = d.call.Deadline
-	}
+	timeLimit := d.bodyTimeLimit()
 	wait, cancel := context.WithTimeout(d.request.Context(), min(maxBodyWait, time.Duration(bodyWaitShare*float64(timeLimit))))
 	defer cancel()
 	defer context.AfterFunc(d.front.endContext, cancel)()
@@ -108,6 +118,14 @@
 	return ""
 }
 
+// bodyTimeLimit returns how long the body may take to arrive.
+func (d *delivery) bodyTimeLimit() time.Duration {
+	if d.call.Deadline > 0 {
+		return d.call.Deadline
+	}
+	return defaultTimeLimit
+}
+
 // releaseBody gives the room of the body back.
 func (d *delivery) releaseBody() {
 	if d.bodyRoom > 0 {
@@ -122,6 +140,9 @@
 	switch {
 	case d.front.endContext.Err() != nil:
 		return d.refuseUnavailable(errStopping.Error(), minRetryAfter)
+	case errors.Is(err, intake.ErrNoRoom), errors.Is(err, intake.ErrCut):
+		d.writer.Header().Set("Connection", "close") // the rest of the body is not read
+		return d.refuseUnavailable(err.Error(), staleRetryAfter)
 	case errors.As(err, &tooLarge):
 		return d.denyLongBody(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -71,6 +71,12 @@
 	MaxHeldBytes int64
 	// MaxBodiesBytes limits the bytes of callers' large bodies in memory.
 	MaxBodiesBytes int64
+	// MaxConnections limits the connections of callers; 0 = by the limit of open files.
+	MaxConnections int
+	// MaxClientsBytes limits the bytes that connections, heads and small bodies take, at all listeners.
+	MaxClientsBytes int64
+	// StallTimeout limits the time without a byte of a body.
+	StallTimeout time.Duration
 
 	Timing    Timing
 	Scheduler scheduler.Config
@@ -202,6 +208,8 @@
 	setDefault(&c.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&c.MaxHeldBytes, defaultHeldBytes)
 	setDefault(&c.MaxBodiesBytes, defaultBodiesBytes)
+	setDefault(&c.MaxClientsBytes, defaultClientsBytes)
+	setDefault(&c.StallTimeout, defaultStallTimeout)
 	setDefault(&c.StopTimeout, 8*time.Second)
 	return c
 }
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -17,21 +17,11 @@
 	"primrosespoke.dev/coord/quarantine"
 	"primrosespoke.dev/daemon/boottime"
 	"primrosespoke.dev/daemon/peer/backend"
-	"primrosespoke.dev/daemon/peer/node"
-	"primrosespoke.dev/daemon/peer/node/nodepb"
 )
 
 const (
 	// incarnationBytes is the length of the random number that identifies an incarnation.
 	incarnationBytes = 8
-	// maxHeaderBytes limits a request's header block, whatever the configuration allows.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout limits the time to read a request's header. Configurations state
-	// shorter times.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's connection may be idle. Configurations state
-	// shorter times.
-	idleTimeout = 2 * time.Minute
 )
 
 // MetricsHandler serves the metrics page.
@@ -52,6 +42,7 @@
 
 	callerListener, readinessListener, operatorListener net.Listener
 	relayListener                                       net.Listener
+	intakes                                             intakes
 	peerSocket                                          *net.UDPConn
 
 	inbox          chan message    // to the control goroutine
@@ -108,6 +99,11 @@
 		f.closeListeners()
 		return nil, err
 	}
+	f.intakes = f.newIntakes()
+	if err := m.observeIntakes(cfg.Meter, f.intakes); err != nil {
+		f.closeListeners()
+		return nil, err
+	}
 	return f, nil
 }
 
@@ -182,10 +178,10 @@
 
 	callers := f.callerServer()
 	failed := make(chan error, 3)
-	f.serve(callers, f.callerListener, failed)
-	f.serve(&http.Server{Handler: f.readiness()}, f.readinessListener, failed)
-	if f.operatorListener != nil {
-		f.serve(&http.Server{Handler: f.operatorHandler()}, f.operatorListener, failed)
+	f.serve(callers, f.intakes.callers, failed)
+	f.serve(controlServer(f.intakes.readiness, f.readiness()), f.intakes.readiness, failed)
+	if f.intakes.operators != nil {
+		f.serve(controlServer(f.intakes.operators, f.operatorHandler()), f.intakes.operators, failed)
 	}
 	var err error
 	select {
@@ -205,12 +201,6 @@
 	return err
 }
 
-func (f *Front) serveRelay() {
-	if err := node.Serve(f.baseContext, relayListener{f.relayListener}, make(replySlots, maxLargeReplies).limit(nodepb.NewRelayServer(relayServer{f}))); err != nil && f.baseContext.Err() == nil {
-		f.log.Error().Err(err).Msg("relay_failed")
-	}
-}
-
 // serve runs a server in the background. It sends an error to failed unless the server or
 // its listener was closed.
 func (f *Front) serve(s *http.Server, l net.Listener, failed chan<- error) {
@@ -220,13 +210,3 @@
 		}
 	}()
 }
-
-func (f *Front) callerServer() *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(f.serveCaller),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
-	}
-}
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -11,6 +11,7 @@
 	"primrosespoke.dev/coord/quarantine"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/coord/sendlimit"
+	"primrosespoke.dev/daemon/intake"
 	"primrosespoke.dev/daemon/peer/operator"
 )
 
@@ -135,6 +136,7 @@
 	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`     // trials by part
 	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"`  // trials by content
 	RestrictedRequests []string                   `json:"restricted_requests,omitempty"` // by content
+	Listeners          []intake.Status            `json:"listeners,omitempty"`           // what clients take of each
 }
 
 // addHeld adds the subjects that are held back.
@@ -191,6 +193,9 @@
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
 	}
 	d.addHeld(c.quarantine.Held())
+	for _, l := range c.front.intakes.all() {
+		d.Listeners = append(d.Listeners, l.Status())
+	}
 	if c.configuration.table != nil {
 		d.Version = c.configuration.table.Version
 	}
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -19,6 +19,9 @@
 	// memoryPartFraction is the fraction of the configured memory that endpoints' answers may take, and
 	// callers' bodies, where no bound is set.
 	memoryPartFraction = 0.25
+	// clientsPartFraction is the fraction of the configured memory that connections, heads and small
+	// bodies may take, where no bound is set.
+	clientsPartFraction = 0.2
 	// keyTrustFraction is the fraction of the time for which keys may be trusted after which a
 	// front stops using them. The rest is left for sending a request after the check.
 	keyTrustFraction = 0.9
@@ -58,8 +61,10 @@
 		MaxConfigurationAge: time.Duration(keyTrustFraction * float64(s.Front.TrustKeysFor)),
 		StopTimeout:         s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
 		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
-		FirstStart: s.Front.FirstStart, MaxHeldBytes: memoryPart(s.Front.HeldMB, s.Front.MemoryMB),
-		MaxBodiesBytes: memoryPart(s.Front.BodiesMB, s.Front.MemoryMB),
+		FirstStart: s.Front.FirstStart, MaxHeldBytes: memoryPart(s.Front.HeldMB, s.Front.MemoryMB, memoryPartFraction),
+		MaxBodiesBytes:  memoryPart(s.Front.BodiesMB, s.Front.MemoryMB, memoryPartFraction),
+		MaxClientsBytes: memoryPart(s.Front.ClientsMB, s.Front.MemoryMB, clientsPartFraction),
+		MaxConnections:  s.Front.Connections, StallTimeout: s.Front.StallTimeout,
 		Scheduler: scheduler.Config{
 			StatedLoad: mode(s.Front.StatedLoad), EngineMemory: mode(s.Front.EngineMemory),
 			AccountSharing: mode(s.Front.AccountSharing), DomainPreference: mode(s.Front.DomainPreference),
@@ -76,12 +81,12 @@
 }
 
 // memoryPart returns the bytes of a part of the memory that is set in megabytes, or else its usual
-// part; 0 = the front's default.
-func memoryPart(mb, memoryMB int64) int64 {
+// fraction; 0 = the front's default.
+func memoryPart(mb, memoryMB int64, fraction float64) int64 {
 	if mb > 0 {
 		return mb << 20
 	}
-	return int64(memoryPartFraction * float64(memoryMB<<20))
+	return int64(fraction * float64(memoryMB<<20))
 }
 
 // mode returns the mode that a checked setting names.
