front: slow bodies and answers lose their room to others; peers' calls bounded

Callers with large bodies got 503 "no room for the body" for up to a minute while a few clients kept the room with bodies that stopped short or came byte by byte. Cause: room that was taken was kept until the body's time limit. While others wait for room, the body or answer is now ended that has moved nothing for a second, or else moves less than 16 KiB a second; of these the one with the most bytes times time. At the peers' address calls of HTTP/2 are bounded by number, heads, bodies and unread bytes; they were not.

--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -5,10 +5,14 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
 	"primrosespoke.dev/coord/scheduler"
 )
 
@@ -49,18 +53,36 @@
 	}
 	d.writer.WriteHeader(a.status)
 	control := http.NewResponseController(d.writer)
+	transfers := d.front.answerMemory.writing
+	writing := transfers.begin(d.call.ID, a.body.bytes(), d.endWriting)
+	defer transfers.remove(writing)
 	for _, piece := range a.body.pieces {
 		// What a caller does not read takes room that others wait for.
 		if err := control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
 			d.front.log.Debug().Err(err).Msg("write_deadline_not_set")
 		}
-		if _, err := d.writer.Write(piece); err != nil {
-			return outcomeGone
+		for part := range slices.Chunk(piece, writePieceBytes) {
+			if _, err := transfers.move(writing, func() (int, error) { return d.writer.Write(part) }); err != nil {
+				return outcomeGone
+			}
 		}
 	}
 	return outcomeAnswered
 }
 
+// endWriting has the write to the caller that is in progress fail.
+func (d *delivery) endWriting() {
+	if err := http.NewResponseController(d.writer).SetWriteDeadline(time.Now()); err != nil {
+		d.front.log.Debug().Str("request_id", d.call.ID).Err(err).Msg("write_deadline_not_set")
+	}
+}
+
+// logAnswerEnded logs that the writing of an answer was ended for others.
+func (f *Front) logAnswerEnded(x *transfer) {
+	f.metrics.transfersEnded.Add(f.baseContext, 1, metric.WithAttributes(attribute.String("kind", "answer")))
+	f.logTransfer("answer_ended_for_others", x)
+}
+
 // writeHead copies an endpoint's end-to-end headers into the caller's answer.
 func (d *delivery) writeHead(header http.Header) {
 	d.answered = true
--- a/daemon/front/bodies.go
+++ b/daemon/front/bodies.go
@@ -9,6 +9,8 @@
 	"os"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 	"golang.org/x/sync/semaphore"
 
 	"primrosespoke.dev/daemon/intake"
@@ -30,14 +32,32 @@
 
 // bodyMemory bounds the bytes of the bodies of callers' requests that a front holds.
 type bodyMemory struct {
-	limit int64
-	room  *semaphore.Weighted
+	limit   int64
+	room    *semaphore.Weighted
+	reading *transfers // of bodies that have room
 }
 
 // newBodyMemory returns a bound, which has room for the largest body.
 func newBodyMemory(limit, largest int64) *bodyMemory {
 	limit = max(limit, largest)
-	return &bodyMemory{limit: limit, room: semaphore.NewWeighted(limit)}
+	return &bodyMemory{limit: limit, room: semaphore.NewWeighted(limit), reading: newTransfers()}
+}
+
+// acquire waits for room. Meanwhile bodies that do not come lose theirs.
+func (m *bodyMemory) acquire(ctx context.Context, room int64, ended func(*transfer)) error {
+	if m.room.TryAcquire(room) {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for sleep(ctx, endTransferInterval); ctx.Err() == nil; sleep(ctx, endTransferInterval) {
+			if x := m.reading.endOne(); x != nil {
+				ended(x)
+			}
+		}
+	}()
+	return m.room.Acquire(ctx, room)
 }
 
 // readBody reads the whole body, since a request may be sent more than once and an
@@ -85,7 +105,7 @@
 	defer cancel()
 	defer context.AfterFunc(d.front.endContext, cancel)()
 	room := min(length, memory.limit)
-	if err := memory.room.Acquire(wait, room); err != nil {
+	if err := memory.acquire(wait, room, d.front.logBodyEnded); err != nil {
 		d.front.metrics.bodiesRefused.Add(d.front.baseContext, 1)
 		d.writer.Header().Set("Connection", "close") // the rest of the body is not read
 		return d.refuseUnavailable(reasonNoBodyRoom, staleRetryAfter)
@@ -99,9 +119,11 @@
 	if d.front.endContext.Err() != nil {
 		d.endReading()
 	}
+	reading := memory.reading.begin(d.call.ID, room, d.endReading)
+	defer memory.reading.remove(reading)
 	whole := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
 	whole.Write(beginning)
-	if _, err := whole.ReadFrom(body); err != nil {
+	if _, err := whole.ReadFrom(movedReader{Reader: body, transfers: memory.reading, transfer: reading}); err != nil {
 		return d.denyBody(err, limit)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
@@ -118,6 +140,12 @@
 	return ""
 }
 
+// logBodyEnded logs that the reading of a body was ended for others.
+func (f *Front) logBodyEnded(x *transfer) {
+	f.metrics.transfersEnded.Add(f.baseContext, 1, metric.WithAttributes(attribute.String("kind", "body")))
+	f.logTransfer("body_ended_for_others", x)
+}
+
 // bodyTimeLimit returns how long the body may take to arrive.
 func (d *delivery) bodyTimeLimit() time.Duration {
 	if d.call.Deadline > 0 {
@@ -145,7 +173,7 @@
 		return d.refuseUnavailable(err.Error(), staleRetryAfter)
 	case errors.As(err, &tooLarge):
 		return d.denyLongBody(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, errTransferEnded):
 		return d.deny(http.StatusRequestTimeout, "body not received in time")
 	}
 	return d.deny(http.StatusBadRequest, "body unreadable")
--- a/daemon/front/clients.go
+++ b/daemon/front/clients.go
@@ -53,9 +53,14 @@
 	controlHeaderBytes = 8 << 10
 	controlHeadTimeout = 5 * time.Second
 	controlBodyTimeout = 5 * time.Second
-	maxPeerBodyBytes   = 64 << 10
-	// maxPeerStreams limits the concurrent calls on one connection; an entry reads three topics.
-	maxPeerStreams = 256
+	maxPeerBodyBytes   = 4 << 10
+	// maxPeerStreams limits the concurrent calls on one connection; an entry reads three topics, each
+	// at times twice. maxPeerCalls limits those of all connections.
+	maxPeerStreams = 32
+	maxPeerCalls   = 256
+	// peerBufferBytes is what one connection may send of bodies that are not read yet. It is the
+	// least that HTTP/2 allows; without it a connection could take 1 MiB.
+	peerBufferBytes = 64 << 10
 	// peerCallTimeout limits a call of another entry. It exceeds maxRelayWait and the wait for a slot.
 	peerCallTimeout = 20 * time.Second
 )
@@ -172,8 +177,10 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s := &http.Server{
-		Handler: http.MaxBytesHandler(relay, maxPeerBodyBytes), MaxHeaderBytes: controlHeaderBytes, Protocols: protocols,
-		HTTP2:       &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
+		Handler: limitCalls(http.MaxBytesHandler(relay, maxPeerBodyBytes), maxPeerCalls), MaxHeaderBytes: controlHeaderBytes, Protocols: protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxPeerStreams, MaxReceiveBufferPerStream: peerBufferBytes, MaxReceiveBufferPerConnection: peerBufferBytes,
+		},
 		ReadTimeout: peerCallTimeout, WriteTimeout: peerCallTimeout, IdleTimeout: idleTimeout,
 	}
 	f.intakes.peers.Configure(s)
@@ -183,6 +190,20 @@
 	}
 }
 
+// limitCalls returns a handler that refuses calls beyond a number.
+func limitCalls(next http.Handler, most int) http.Handler {
+	calls := make(chan struct{}, most)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case calls <- struct{}{}:
+			defer func() { <-calls }()
+			next.ServeHTTP(w, r)
+		default:
+			http.Error(w, "too many calls", http.StatusServiceUnavailable)
+		}
+	})
+}
+
 // observeIntakes registers the gauges of what clients take.
 func (m *metrics) observeIntakes(meter metric.Meter, i intakes) error {
 	instruments := telemetry.NewInstruments(meter)
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -88,6 +88,7 @@
 		drainBegun: make(chan struct{}), endContext: endContext, endRequests: endRequests,
 		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
 	}
+	f.answerMemory.ended = f.logAnswerEnded
 	f.configuration.Store(&configurationState{})
 	f.endpointView.Store(&endpointView{})
 	f.limits.Store(&limitView{})
--- a/daemon/front/held.go
+++ b/daemon/front/held.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 )
 
 const (
@@ -33,10 +34,12 @@
 	leaving    int64 // the part of held whose answers were given up and are about to be released
 	delivering int64 // the part of held that is being written to callers, which is never given up
 	answers    map[*heldAnswer]struct{}
+	writing    *transfers // of answers to callers
+	ended      func(*transfer)
 }
 
 func newAnswerMemory(limit int64) *answerMemory {
-	m := &answerMemory{limit: limit, answers: map[*heldAnswer]struct{}{}}
+	m := &answerMemory{limit: limit, answers: map[*heldAnswer]struct{}{}, writing: newTransfers(), ended: func(*transfer) {}}
 	m.room = sync.NewCond(&m.mu)
 	return m
 }
@@ -83,12 +86,7 @@
 	if h.takeRoom(n) {
 		return nil
 	}
-	stop := context.AfterFunc(ctx, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.room.Broadcast()
-	})
-	defer stop()
+	defer context.AfterFunc(ctx, m.wake)()
 	for {
 		m.makeRoom(n)
 		switch {
@@ -99,10 +97,23 @@
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		}
+		if m.held-m.leaving+n > m.limit {
+			if x := m.writing.endOne(); x != nil {
+				m.ended(x)
+			}
+		}
+		wake := time.AfterFunc(endTransferInterval, m.wake) // an answer may be read slowly by then
 		m.room.Wait()
+		wake.Stop()
 	}
 }
 
+func (m *answerMemory) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.room.Broadcast()
+}
+
 // takeRoom reports whether there is room for more bytes, and takes it.
 func (h *heldAnswer) takeRoom(n int64) bool {
 	if h.givenUp || h.memory.held+n > h.memory.limit {
