--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -29,7 +29,7 @@
 	answersGivenUp, bodiesRefused            metric.Int64Counter
 	statementsUsed, statementsIgnored        metric.Int64Counter
 	domainPlacements                         metric.Int64Counter
-	connectionsCut                           metric.Int64Counter
+	connectionsCut, transfersEnded           metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -59,6 +59,7 @@
 		statementsIgnored:      i.Counter("primrosespoke_endpoint_statements_ignored", "{statement}", "statements of endpoints on their load that were ignored, by reason"),
 		domainPlacements:       i.Counter("primrosespoke_domain_placements", "{request}", "requests sent to an endpoint inside or outside the front's failure domain, by service"),
 		connectionsCut:         i.Counter("primrosespoke_connections_cut", "{connection}", "connections that were cut or refused, by listener and what had run out"),
+		transfersEnded:         i.Counter("primrosespoke_transfers_ended", "{transfer}", "bodies and answers that callers sent or read slowly, and that were ended since others waited for their room, by kind"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
