scheduler: what is rolled out can restrict at which versions requests are placed

Requests were placed at every version that is listed. The interface Versions, beside Gate, says at which endpoints a request may be placed, which version it should go to, and which versions get nothing. Without one all is as before. A version that gets nothing does not count towards the slots of its service.

--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -188,7 +188,7 @@
 		if e.serviceTime > 0 {
 			serviceTimes = append(serviceTimes, e.serviceTime.Seconds())
 		}
-		if !e.usable(now) || info.Engine && s.places != nil && s.places.Closed(now, e.ID) {
+		if !e.usable(now) || info.Engine && s.places != nil && s.places.Closed(now, e.ID) || s.isClosed(e) {
 			continue
 		}
 		peerLoad := s.peers.loads[e.ID]
@@ -309,7 +309,7 @@
 			suitable = append(suitable, c)
 		}
 	}
-	for _, c := range s.comparable(p, suitable) {
+	for _, c := range s.comparable(p, s.preferVersion(r, suitable)) {
 		cost := s.cost(now, r, c)
 		switch {
 		case !c.open: // when it opens does not depend on its slots
@@ -344,6 +344,9 @@
 		s.places.Use(now, c.endpoint.ID)
 		c.granted--
 	}
+	if r.versions != nil {
+		r.versions.Placed(r, placement)
+	}
 	if c.running++; !c.available(s.cfg.Overcommit) {
 		p.openCandidates--
 	}
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -63,13 +63,16 @@
 	Avoid map[string]bool
 	// Version is the software version of the endpoints that may run the request; empty = any.
 	Version string
+	// Route is the name of the request's route; see Versions.
+	Route string
 
 	prospect prospect // as of the last plan
+	versions Versions // nil = any
 }
 
 // mayRunAt reports whether an endpoint has a software version that may run the request.
 func (r *Request) mayRunAt(e *endpoint) bool {
-	return r.Version == "" || r.Version == e.Version
+	return (r.Version == "" || r.Version == e.Version) && (r.versions == nil || r.versions.Admits(r, e.ID, e.Version))
 }
 
 // Placement is the decision to send a request to an endpoint.
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -92,6 +92,7 @@
 	placedShareOfAll map[string]float64      // the same of all ranks, by service
 	refusedWork      map[string]*refusedWork // by service
 	gate             Gate
+	versions         Versions                     // nil = requests may be placed at any
 	restricted       map[string]*restrictedDemand // by service with restricted endpoints
 	pacers           map[string]*pacer            // by plain service
 	places           *places.Places               // of model engines; nil = none
@@ -192,6 +193,7 @@
 	if !s.services[r.Service].Engine {
 		s.pacerOf(r.Service).arrive(r.Arrived)
 	}
+	r.versions = s.versions
 	s.queues[r.Service] = append(s.queues[r.Service], &r)
 }
 
