--- a/coord/rollout/set.go
+++ b/coord/rollout/set.go
@@ -221,28 +221,25 @@
 	return slices.Sorted(maps.Keys(s.services))
 }
 
-// Step decides on the phases of all services; see Situation. writes tells whether this entry writes the status of
-// a service.
-func (s *Set) Step(now time.Duration, entries int, current bool, heard []string, writes func(service string) bool) []Change {
-	var changes []Change
+// Step decides on the phases of all services, and reports whether one has changed. writes tells
+// whether this entry writes the status of a service; for the rest see Situation.
+func (s *Set) Step(now time.Duration, at Situation, writes func(service string) bool) bool {
+	changed := false
 	for _, name := range s.names() {
-		if change, ok := s.services[name].Step(now, s.situation(name, entries, current, heard, writes(name))); ok {
-			changes = append(changes, change)
-		}
+		at.Writes = writes(name)
+		at.Blocking, at.Streams = s.running(name)
+		changed = s.services[name].Step(now, at) || changed
 	}
-	return changes
-}
-
-func (s *Set) situation(name string, entries int, current bool, heard []string, writes bool) Situation {
-	blocking, streams := s.running(name)
-	return Situation{Entries: entries, Current: current, Heard: heard, Writes: writes, Blocking: blocking, Streams: streams}
+	return changed
 }
 
 // Wanted returns the statuses that the store should have.
 func (s *Set) Wanted(now time.Duration, heard []string) []Status {
 	var wanted []Status
 	for _, name := range s.names() {
-		if status, ok := s.services[name].Wanted(now, s.situation(name, 0, false, heard, true)); ok {
+		at := Situation{Heard: heard}
+		at.Blocking, at.Streams = s.running(name)
+		if status, ok := s.services[name].Wanted(now, at); ok {
 			wanted = append(wanted, status)
 		}
 	}
--- a/coord/rollout/step.go
+++ b/coord/rollout/step.go
@@ -24,6 +24,9 @@
 	Heard   []string
 	// Writes is set if this entry writes the status.
 	Writes bool
+	// Stored is set if the store answered of late. All requests move only then, since the verdict
+	// must be written soon.
+	Stored bool
 	// Current is set if verdicts of others would have been heard of.
 	Current bool
 	// Blocking and Streams are the runs of this entry at old versions that can't be repeated, and
@@ -31,40 +34,27 @@
 	Blocking, Streams int
 }
 
-// Change is a change of the phase, for logs.
-type Change struct {
-	Service, Target string
-	Before, After   Phase
-	Reason          string
-	Old, New        Counts
-	Age, Duration   time.Duration
-}
-
 // Age returns for how long the order has been known.
 func (s *Service) Age(now time.Duration) time.Duration {
 	return max(now-s.startedAt, 0)
 }
 
-// Step decides on the phase. It returns false if the phase stays.
-func (s *Service) Step(now time.Duration, at Situation) (Change, bool) {
+// Step decides on the phase, and reports whether it has changed.
+func (s *Service) Step(now time.Duration, at Situation) bool {
 	s.entries, s.current = at.Entries, at.Current
 	before := s.record()
 	if s.order.Target == "" || !s.informed || before.Phase.Decided() {
-		return Change{}, false
+		return false
 	}
 	s.progress = min(1, s.Age(now).Seconds()/s.moveAt().Seconds())
 	sum := s.evidence()
 	phase, reason := s.decide(now, sum, at)
 	s.observeWindow(now, sum)
 	if phase == before.Phase {
-		return Change{}, false
+		return false
 	}
 	s.merge(Record{Target: before.Target, Generation: before.Generation, Phase: phase, Reason: reason})
-	total := sum.total()
-	return Change{
-		Service: s.name, Target: before.Target, Before: before.Phase, After: phase, Reason: reason, Old: total.Old, New: total.New,
-		Age: s.Age(now), Duration: s.order.Duration,
-	}, true
+	return true
 }
 
 func (s *Service) decide(now time.Duration, sum Evidence, at Situation) (Phase, string) {
@@ -83,9 +73,9 @@
 		return RolledBack, "no endpoint of the version"
 	case age >= last && s.suspect(sum):
 		return RolledBack, "perhaps worse than the version before at the last moment"
-	case age >= last:
+	case age >= last && at.Stored:
 		return Moving, "no worse than the version before at the last moment"
-	case age >= s.moveAt() && listed && sum.enough(triedShare*s.cfg.ExposureShare) && !s.suspect(sum):
+	case age >= s.moveAt() && at.Stored && listed && sum.enough(triedShare*s.cfg.ExposureShare) && !s.suspect(sum):
 		return Moving, "no worse than the version before"
 	}
 	return phase, ""
