front, platform: roll-outs of software versions

Rows rollout/SERVICE of the operator were ignored, and endpoints of a new version got requests like all others. Each front counts how the versions answer and reports that (key 40; 20 to 24 are those of datagrams to one front, and a report with one of them is unreadable to all). The front that rendezvous hashing selects among those that are heard writes the status, under the condition that nothing was written since its read, and reads it back. Verdicts stand through restarts, repeated orders and a store that comes back older.

--- a/daemon/front/call.go
+++ b/daemon/front/call.go
@@ -9,6 +9,7 @@
 
 	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/mirror"
+	"primrosespoke.dev/coord/rollout"
 	"primrosespoke.dev/coord/routing"
 	"primrosespoke.dev/coord/scheduler"
 )
@@ -112,10 +113,13 @@
 	// TopicOrigins holds the origins of streams, without keys, in the order in which they were
 	// saved. The store drops the oldest ones.
 	TopicOrigins
+	// TopicStatuses holds the system's answers to the operators' orders, under the keys of those.
+	TopicStatuses
 )
 
 var topicNames = map[Topic]string{
 	TopicConfiguration: "configuration", TopicEndpoints: "endpoints", TopicMembers: "members", TopicOrigins: "origins",
+	TopicStatuses: "statuses",
 }
 
 // ErrTrimmed means that the store no longer has the records at the offset: the newest
@@ -125,6 +129,9 @@
 // ErrForeignRow means that a row does not belong to the topic and is to be ignored.
 var ErrForeignRow = errors.New("foreign row")
 
+// ErrMoved means that a conditional write did not take effect, since the topic has grown.
+var ErrMoved = errors.New("the topic has grown")
+
 // Store is the platform's store, which holds all persistent data.
 type Store interface {
 	// Newest returns the newest record of each key, and the offset to read from next.
@@ -139,6 +146,16 @@
 	Append(ctx context.Context, topic Topic, value []byte) error
 	// Put writes a row; a nil value removes it.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
+	// PutAt writes a row if the topic still ends at an offset, and returns ErrMoved if it does not.
+	// After any other error the write may have taken effect, or may do so later.
+	PutAt(ctx context.Context, topic Topic, key string, value []byte, at int64) error
+	// DecodeOrder decodes a row that orders a roll-out, without the order's ID. For other rows it
+	// returns ErrForeignRow.
+	DecodeOrder(r mirror.Record) (rollout.Order, error)
+	// DecodeStatus decodes the status of a roll-out. For other rows it returns ErrForeignRow.
+	DecodeStatus(r mirror.Record) (StatusRow, error)
+	// EncodeStatus returns the key and the value of the row of a status.
+	EncodeStatus(row StatusRow) (key string, value []byte, err error)
 	// DecodeConfiguration decodes the row of the configuration. For other rows it returns
 	// ErrForeignRow.
 	DecodeConfiguration(r mirror.Record) (*routing.Table, error)
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -57,6 +57,12 @@
 	// CapSlack is how far the usage of all entries together may exceed a usage cap, in
 	// the unit of the cap.
 	CapSlack float64
+	// ExposureShare is the part of the requests to a service that a bad software version may get
+	// while it is rolled out, beyond ExposureSlack requests. RollbackWithin is how long after its
+	// 50th bad answer it may still get requests. Without ExposureShare and RollbackWithin roll-outs
+	// are off.
+	ExposureShare, ExposureSlack float64
+	RollbackWithin               time.Duration
 	// LeaveWithin is how long after an endpoint was listed as leaving it may still get
 	// requests.
 	LeaveWithin time.Duration
--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -223,6 +223,7 @@
 func (c *control) observeConfigurations(versions versionOffsets) {
 	c.configurationOffsets.merge(versions)
 	c.configuration.superseded = c.configurationOffsets.superseded()
+	c.rolloutEra(c.configurationOffsets.usable.era)
 }
 
 // confirmConfiguration records a proof that the newest version was known, and logs where proofs
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -65,6 +65,7 @@
 	lastExpiry           time.Duration            // when expired rows and members were last removed
 	caps                 map[string]allowance.Cap // by account
 	workTimes            map[string]*workTimes    // by route
+	rollouts             rolloutState
 }
 
 func newControl(f *Front) *control {
@@ -98,8 +99,12 @@
 		workTimes:      map[string]*workTimes{},
 		cancelable:     map[uint64]cancelableAttempt{},
 		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
+		rollouts:       newRolloutState(f),
 	}
 	c.scheduler.SetGate(c.sendLimits)
+	if c.rollouts.set != nil {
+		c.scheduler.SetVersions(rolloutVersions{set: c.rollouts.set, now: f.now})
+	}
 	if f.config.Places {
 		c.scheduler.SetPlaces(c.places)
 	}
@@ -154,6 +159,7 @@
 	}
 	c.assessConfiguration(now)
 	c.reviewHeld()
+	c.stepRollouts(now)
 	c.plan()
 	c.sendReports(now)
 	c.sendOrigins(now)
@@ -304,6 +310,7 @@
 	if !c.scheduler.Cancel(m.id) {
 		c.scheduler.Done(c.front.now(), m.id, scheduler.Abandoned)
 	}
+	c.endRun(c.front.now(), m.id, scheduler.Abandoned)
 	delete(c.undecided, m.id)
 	delete(c.cancelable, m.id)
 	c.endSubjects(m.id, nil)
@@ -313,7 +320,11 @@
 type firstEventMessage struct{ id uint64 }
 
 func (m firstEventMessage) apply(c *control) {
-	c.scheduler.FirstEvent(c.front.now(), m.id)
+	now := c.front.now()
+	c.scheduler.FirstEvent(now, m.id)
+	if c.rollouts.set != nil {
+		c.rollouts.set.FirstEvent(now, m.id)
+	}
 }
 
 // progressMessage reports that further events of a stream arrived.
@@ -338,7 +349,9 @@
 
 func (m doneMessage) apply(c *control) {
 	delete(c.cancelable, m.id)
-	c.scheduler.Done(c.front.now(), m.id, m.outcome)
+	now := c.front.now()
+	c.scheduler.Done(now, m.id, m.outcome)
+	c.endRun(now, m.id, m.outcome)
 	c.recordWork(m.route, m.worked)
 	c.endSubjects(m.id, m.answered)
 }
--- a/daemon/front/endpoints.go
+++ b/daemon/front/endpoints.go
@@ -203,6 +203,7 @@
 			c.usable[r.ID] = r
 		}
 	}
+	c.listRollouts()
 	c.retainLimits()
 	c.placesChanged()
 	c.front.pool.Retain(func(address string) bool { return kept[address] })
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -169,6 +169,7 @@
 	for _, r := range got.Records {
 		table, err := f.config.Store.DecodeConfiguration(r)
 		if errors.Is(err, ErrForeignRow) {
+			f.takeOrder(r, got.Era, got.full)
 			continue
 		}
 		versions.add(offset{number: r.Offset, era: got.Era}, err == nil)
--- a/daemon/front/front.go
+++ b/daemon/front/front.go
@@ -73,6 +73,8 @@
 	relay          *relayClient
 	originBatches  chan []origin.Origin           // to be saved, from the control goroutine
 	originReads    chan chan struct{}             // each is closed once the saved origins were read
+	statusReads    chan struct{}                  // asks for a read of the statuses of roll-outs
+	rolloutsOff    sync.Once                      // guards the log line that orders are ignored
 	listedVersions atomic.Pointer[origin.Summary] // as last published by the control goroutine; not changed
 	memberCount    atomic.Int64                   // of entries, this one included; as last known
 	membersRead    sync.Once                      // guards the close of membersKnown
@@ -96,6 +98,7 @@
 		topics: newRelayedTopics(), relay: newRelayClient(), membersKnown: make(chan struct{}),
 		drainBegun: make(chan struct{}), endContext: endContext, endRequests: endRequests,
 		originBatches: make(chan []origin.Origin, 1), originReads: make(chan chan struct{}),
+		statusReads: make(chan struct{}, 1),
 	}
 	f.configuration.Store(&configurationState{})
 	f.endpointView.Store(&endpointView{})
@@ -173,7 +176,7 @@
 	background.Go(func() { newControl(f).run(f.baseContext); close(f.stopped) })
 	background.Go(f.listen)
 	go f.serveRelay() // not waited for: nothing depends on its end
-	for _, follow := range []func(context.Context){f.followConfiguration, f.followEndpoints, f.followMembers, f.writeOrigins, f.readOrigins} {
+	for _, follow := range []func(context.Context){f.followConfiguration, f.followEndpoints, f.followMembers, f.writeOrigins, f.readOrigins, f.followStatuses} {
 		background.Go(func() { follow(f.baseContext) })
 	}
 	rowContext, removeRow := context.WithCancel(f.baseContext)
--- a/daemon/front/handler.go
+++ b/daemon/front/handler.go
@@ -316,7 +316,7 @@
 		PromptTokens: d.call.PromptTokens, OutputTokens: d.call.OutputHint, MaxOutputTokens: d.call.MaxOutputTokens, Account: d.admission.AccountName(),
 		Arrived: now, GapTarget: route.GapTarget, Deadline: d.deadline, NextByteDeadline: d.deadline,
 		Repeatable: d.runs+1 < d.maxRuns, Avoid: maps.Clone(d.triedEndpoints),
-		Version: d.streamVersion,
+		Version: d.streamVersion, Route: route.Name,
 	}
 	switch most := d.call.MaxOutputTokens; {
 	case r.OutputTokens == 0:
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -26,6 +26,7 @@
 	waited, firstByte, total                 metric.Float64Histogram
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
+	rolloutPhases, rolloutAnswers            metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -51,6 +52,8 @@
 		silentHomes:            i.Counter("primrosespoke_silent_homes", "{home}", "homes of places that stopped answering"),
 		answersGivenUp:         i.Counter("primrosespoke_answers_given_up", "{answer}", "answers of endpoints that were given up, since they were too long or there was no room for them, by reason"),
 		bodiesRefused:          i.Counter("primrosespoke_bodies_refused", "{request}", "requests refused since there was no room for their body"),
+		rolloutPhases:          i.Counter("primrosespoke_rollout_phases", "{change}", "changes of the phase of a roll-out, by service and the new phase"),
+		rolloutAnswers:         i.Counter("primrosespoke_rollout_answers", "{answer}", "answers by which a version that is rolled out was judged, by service, version and result"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -149,6 +152,18 @@
 	m.silentHomes.Add(context.Background(), 1)
 }
 
+// rolloutPhase counts a change of the phase of a roll-out.
+func (m *metrics) rolloutPhase(service, phase string) {
+	m.rolloutPhases.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("phase", phase)))
+}
+
+// rolloutAnswered counts answers of the old version or of the target of a roll-out.
+func (m *metrics) rolloutAnswered(service, version, result string, n int64) {
+	if n > 0 {
+		m.rolloutAnswers.Add(context.Background(), n, metric.WithAttributes(attribute.String("service", service), attribute.String("version", version), attribute.String("result", result)))
+	}
+}
+
 // placed counts an attempt that ended.
 func (m *metrics) placed(outcome string) {
 	m.placements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -131,9 +131,10 @@
 	Waiting            map[string]int             `json:"waiting"`
 	CapLevels          map[string]float64         `json:"cap_levels"`
 	Limits             []limitDump                `json:"endpoint_limits,omitempty"`
-	Places             []places.EndpointStatus    `json:"places,omitempty"`              // of model engines
-	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`     // trials by part
-	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"`  // trials by content
+	Places             []places.EndpointStatus    `json:"places,omitempty"`             // of model engines
+	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`    // trials by part
+	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"` // trials by content
+	Rollouts           []rolloutDump              `json:"rollouts,omitempty"`
 	RestrictedRequests []string                   `json:"restricted_requests,omitempty"` // by content
 }
 
@@ -189,6 +190,7 @@
 		Members: map[string]memberDump{}, Endpoints: c.directory.All(), Loads: c.scheduler.Status(now),
 		Waiting: c.scheduler.QueueLengths(), CapLevels: c.limiter.Levels(now),
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
+		Rollouts: c.dumpRollouts(now),
 	}
 	d.addHeld(c.quarantine.Held())
 	if c.configuration.table != nil {
--- a/daemon/front/proof_model_test.go
+++ b/daemon/front/proof_model_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"primrosespoke.dev/coord/mirror"
+	"primrosespoke.dev/coord/rollout"
 	"primrosespoke.dev/coord/routing"
 	"primrosespoke.dev/daemon/peer/node/nodepb"
 )
@@ -48,6 +49,11 @@
 	return routing.NewTable(version, nil, nil, nil, routing.Limits{}), nil
 }
 
+// DecodeOrder implements Store: the model's topic holds no orders.
+func (*modelStore) DecodeOrder(mirror.Record) (rollout.Order, error) {
+	return rollout.Order{}, ErrForeignRow
+}
+
 func (s *modelStore) end() int64 { return int64(len(s.records)) }
 
 func (s *modelStore) add(r modelRecord) {
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -34,7 +34,8 @@
 }()
 
 // report is what entries send each other, often and without acknowledgement. It holds
-// current state and no changes, so the next report makes up for a lost one.
+// current state and no changes, so the next report makes up for a lost one. Keys 20 to 24 are
+// those of directReport, by which entries tell the two apart.
 type report struct {
 	From            string             `cbor:"1,keyasint"`
 	Address         string             `cbor:"2,keyasint"`
@@ -53,6 +54,7 @@
 	UptimeMS        int64              `cbor:"17,keyasint,omitempty"` // since the entry's start, in full reports; 0 = unknown
 	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
 	Places          bool               `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
+	Rollouts        []reportedRollout  `cbor:"40,keyasint,omitempty"` // in full reports; those with a verdict in the store in some of them
 	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
 }
 
@@ -126,6 +128,7 @@
 	r.Full, r.Usage = true, c.limiter.Usage()
 	r.UptimeMS = max((now - c.startedAt).Milliseconds(), 1)
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
+	r.Rollouts = c.encodeRollouts(now, c.reporting.fullReports%levelsReportInterval == 0)
 	if c.reporting.fullReports%levelsReportInterval == 0 {
 		r.Levels = c.limiter.Levels(now)
 		r.Listed = c.encodeVersions(now)
@@ -295,6 +298,9 @@
 	if len(r.Subjects) > 0 {
 		c.subjectsChanged(c.quarantine.Merge(now, decodeEvidence(r.Subjects)))
 	}
+	if c.rollouts.set != nil && len(r.Rollouts) > 0 {
+		c.rollouts.set.Receive(now, r.From, r.Incarnation, decodeRollouts(r.Rollouts))
+	}
 	if r.Full {
 		c.limiter.ReceiveReport(now, r.From, r.Incarnation, startedAt(now, r.UptimeMS), allowance.Usage(r.Usage), r.Levels)
 		c.limiter.SetPeerTimeout(r.From, validFor)
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -58,6 +58,7 @@
 		MaxConfigurationAge: time.Duration(keyTrustFraction * float64(s.Front.TrustKeysFor)),
 		StopTimeout:         s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
 		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
+		ExposureShare: s.Front.ExposureShare, ExposureSlack: s.Front.ExposureSlack, RollbackWithin: s.Front.RollbackWithin,
 		FirstStart: s.Front.FirstStart, MaxHeldBytes: memoryPart(s.Front.HeldMB, s.Front.MemoryMB),
 		MaxBodiesBytes: memoryPart(s.Front.BodiesMB, s.Front.MemoryMB),
 		Scheduler: scheduler.Config{
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -83,6 +83,9 @@
 	RetryRatio       float64       `yaml:"retry_ratio" default:"0.2" unit:"sends a request" doc:"further sends that all entries together may make, by service" check:"min 0"`
 	RetryBurst       float64       `yaml:"retry_burst" default:"20" unit:"sends" doc:"further sends beyond the ratio that all entries together may make" check:"min 0"`
 	CapSlack         float64       `yaml:"cap_slack" default:"0" unit:"of the caps" doc:"what a usage cap may be exceeded by, for all entries together" check:"min 0"`
+	ExposureShare    float64       `yaml:"exposure_share" default:"0" unit:"of the requests" doc:"requests that a bad software version may get while it is rolled out, by service and for all entries together; 0 = roll-outs are off" check:"min 0"`
+	ExposureSlack    float64       `yaml:"exposure_slack" default:"0" unit:"requests" doc:"what exposure_share may be exceeded by" check:"min 0"`
+	RollbackWithin   time.Duration `yaml:"rollback_within" default:"0s" unit:"duration" doc:"how long after its 50th bad answer a software version may still get requests; 0 = roll-outs are off" check:"min 0s"`
 	FirstStart       bool          `yaml:"first_start" default:"false" doc:"whether the whole system starts for the first time, so that no caller has a broken stream yet"`
 	MemoryMB         int64         `yaml:"memory_mb" default:"0" unit:"megabytes" doc:"memory that the process may take; 0 = no limit" check:"min 0"`
 	BodiesMB         int64         `yaml:"bodies_mb" default:"0" unit:"megabytes" doc:"callers' bodies of more than 16 KiB in memory; 0 = a quarter of memory_mb, or 64 without it" check:"min 0"`
