rollout: the move waits for the target's endpoints; sums are kept

All requests could move while one endpoint of the target was listed beside many old ones. Before the last moment they now move only once the target has half as many endpoints. Sums over routes and the last completed version are kept instead of computed for each candidate of a plan.

--- a/coord/rollout/service.go
+++ b/coord/rollout/service.go
@@ -47,6 +47,9 @@
 	// earlySlack is the part of the slack that may be used at once. The rest comes with time, so
 	// that a version that turns bad is still tried then.
 	earlySlack = 0.3
+	// startedShare is the number of the target's endpoints, as a part of that of the old ones, from
+	// which all requests may move before the last moment.
+	startedShare = 0.5
 	// lastStreams is the time before the deadline at which streams of the old version that can be
 	// resumed are no longer waited for, as a part of the duration.
 	lastStreams = 0.06
@@ -75,6 +78,7 @@
 	late      bool    // the order was there when this entry began to read
 	startedAt time.Duration
 	records   map[string]Record // by target
+	base      string            // the target that was completed last; empty = none is known
 	own       Evidence
 	peers     map[source]Evidence
 	latest    map[string]peerState // by entry
@@ -84,6 +88,7 @@
 	trial     map[string]bool      // endpoints of the target at which it is tried; nil = to be computed
 	window    []Evidence           // sums at the last steps, the oldest first
 	windowAt  time.Duration
+	ownTotal  Pair // sum of own over routes
 	peerTotal Pair // sum over peers and routes
 	wroteRow  bool // see generationOfStatus
 	// informed is set once the store or another entry has said what is known of earlier verdicts.
@@ -110,7 +115,7 @@
 // restart forgets what was seen under the order before.
 func (s *Service) restart() {
 	s.own, s.peers, s.latest, s.paces = Evidence{}, map[source]Evidence{}, map[string]peerState{}, map[string]*pace{}
-	s.longest, s.trial, s.window, s.peerTotal, s.wroteRow = 0, nil, nil, Pair{}, false
+	s.longest, s.trial, s.window, s.ownTotal, s.peerTotal, s.wroteRow = 0, nil, nil, Pair{}, Pair{}, false
 }
 
 // record returns what is known of the present target.
@@ -128,6 +133,7 @@
 		s.restart()
 	}
 	s.records[r.Target] = r
+	defer func() { s.base = s.findBase() }()
 	for len(s.records) > maxRecords {
 		oldest := ""
 		for target, each := range s.records {
@@ -158,7 +164,7 @@
 		return
 	}
 	r, ok := s.records[o.Target]
-	before := s.base()
+	before := s.base
 	s.order, s.late, s.startedAt = o, late, startedAt
 	s.remember(o)
 	s.restart()
@@ -178,8 +184,8 @@
 	}
 }
 
-// base returns the target that was completed last; empty = none is known.
-func (s *Service) base() string {
+// findBase returns the target that was completed last; empty = none is known.
+func (s *Service) findBase() string {
 	var last Record
 	for _, r := range s.records {
 		if r.Phase == Completed && (last.Target == "" || cmp.Or(r.WrittenAt.Compare(last.WrittenAt), cmp.Compare(r.Target, last.Target)) > 0) {
@@ -234,13 +240,27 @@
 	if version == s.order.Target {
 		return false
 	}
-	if base := s.base(); base != "" {
-		return version == base
+	if s.base != "" {
+		return version == s.base
 	}
 	_, tried := s.records[version] // it was rolled back, or its order was replaced
 	return !tried
 }
 
+// isStarted reports whether the target has endpoints for all requests, by their number.
+func (s *Service) isStarted() bool {
+	count, old := 0, 0
+	for _, version := range s.listed {
+		switch {
+		case version == s.order.Target:
+			count++
+		case s.isOld(version):
+			old++
+		}
+	}
+	return count > 0 && float64(count) >= startedShare*float64(old)
+}
+
 // Request says what the placement of a request depends on.
 type Request struct {
 	Route string
@@ -268,15 +288,15 @@
 	case !s.lists(s.isOld):
 		return true // nothing else can serve the request
 	}
-	return !r.Repeated && s.mayTry(r.Route) && s.trialEndpoints()[endpoint]
+	return !r.Repeated && s.trialEndpoints()[endpoint] && s.mayTry(r.Route)
 }
 
 func (s *Service) isTarget(version string) bool { return version == s.order.Target }
 
 // admitsWithoutOrder decides where no order is known but verdicts are.
 func (s *Service) admitsWithoutOrder(version string) bool {
-	if base := s.base(); base != "" {
-		return version == base
+	if s.base != "" {
+		return version == s.base
 	}
 	return s.records[version].Phase != RolledBack
 }
@@ -323,7 +343,7 @@
 
 // mayTry reports whether this entry may send a further request of a route to the target.
 func (s *Service) mayTry(route string) bool {
-	own := s.own.total()
+	own := s.ownTotal
 	all := Pair{Old: own.Old.plus(s.peerTotal.Old), New: own.New.plus(s.peerTotal.New)}
 	if !s.informed || !s.current || s.entries == 0 {
 		return false
--- a/coord/rollout/set.go
+++ b/coord/rollout/set.go
@@ -124,8 +124,10 @@
 	switch {
 	case r.version == s.order.Target:
 		change(&p.New)
+		change(&s.ownTotal.New)
 	case s.isOld(r.version):
 		change(&p.Old)
+		change(&s.ownTotal.Old)
 	}
 	s.own[r.route] = p
 }
--- a/coord/rollout/step.go
+++ b/coord/rollout/step.go
@@ -75,7 +75,7 @@
 		return RolledBack, "perhaps worse than the version before at the last moment"
 	case age >= last && at.Stored:
 		return Moving, "no worse than the version before at the last moment"
-	case age >= s.moveAt() && at.Stored && listed && sum.enough(triedShare*s.cfg.ExposureShare) && !s.suspect(sum):
+	case age >= s.moveAt() && at.Stored && s.isStarted() && sum.enough(triedShare*s.cfg.ExposureShare) && !s.suspect(sum):
 		return Moving, "no worse than the version before"
 	}
 	return phase, ""
@@ -293,6 +293,6 @@
 	total := sum.total()
 	return Description{
 		Service: s.name, Target: s.order.Target, Phase: r.Phase.String(), Reason: r.Reason, Written: r.Written, Age: s.Age(now), Duration: s.order.Duration,
-		Old: total.Old, New: total.New, Evidence: sum, Own: s.own.total(),
+		Old: total.Old, New: total.New, Evidence: sum, Own: s.ownTotal,
 	}
 }
