rollout: a version that hangs, or turns requests away as not run, is found

A target that did not answer, or rejected all requests, gave no answer to judge and got all requests at the last moment. A run that is too slow now counts as bad before it ends, and a target that has answered fewer than half of ten or more requests gets no more.

--- a/coord/rollout/evidence.go
+++ b/coord/rollout/evidence.go
@@ -97,6 +97,15 @@
 	return float64(p.New.Bad) > rateFactor*expected+suspectDeviations*math.Sqrt(expected)+suspectMargin
 }
 
+// minSilent is the least number of requests, and answeredShare the least part of them to be answered,
+// without which a version is not taken for good: it may turn all away as not run.
+const minSilent, answeredShare = 10, 0.5
+
+// silent reports whether the target has answered so few requests that nothing is known of it.
+func (p Pair) silent() bool {
+	return p.New.Sent >= minSilent && float64(p.New.Answered) < answeredShare*float64(p.New.Sent)
+}
+
 // worseRoute returns the route on which the target answers worse; "all routes" for the sum.
 func (e Evidence) worseRoute() (string, bool) {
 	routes := make([]string, 0, len(e))
--- a/coord/rollout/set.go
+++ b/coord/rollout/set.go
@@ -148,6 +148,16 @@
 	r.judged, r.bad = true, r.bad || bad
 }
 
+// judgeLate counts a run that is too slow before it ends, since it may hang for as long as its
+// caller waits.
+func (s *Service) judgeLate(now time.Duration, r *run) {
+	if r.judged || !s.pace(r.route).isSlow(now, now-r.sentAt, r.weight) {
+		return
+	}
+	s.count(r, func(c *Counts) { c.Answered++; c.Bad++ })
+	r.judged, r.bad = true, true
+}
+
 // FirstEvent records the first event of a stream.
 func (s *Set) FirstEvent(now time.Duration, id uint64) {
 	r := s.runs[id]
@@ -227,6 +237,11 @@
 // whether this entry writes the status of a service; for the rest see Situation.
 func (s *Set) Step(now time.Duration, at Situation, writes func(service string) bool) bool {
 	changed := false
+	for _, r := range s.runs {
+		if each := s.services[r.service]; each != nil {
+			each.judgeLate(now, r)
+		}
+	}
 	for _, name := range s.names() {
 		at.Writes = writes(name)
 		at.Blocking, at.Streams = s.running(name)
--- a/coord/rollout/simulation_test.go
+++ b/coord/rollout/simulation_test.go
@@ -28,6 +28,8 @@
 	from   time.Duration // after the order
 	route  string        // empty = all
 	rate   float64       // part of the answers; 0 = the version is good
+	hangs  bool          // it does not answer for a minute
+	denies bool          // it turns the requests away as not run
 	slow   bool          // five times slower; otherwise failures
 	loaded int           // only while an endpoint runs more requests than that
 	busy   bool          // endpoints run several requests at a time
@@ -55,6 +57,7 @@
 	at       time.Duration
 	failed   bool
 	bad      bool
+	denied   bool
 }
 
 type delayed struct {
@@ -198,10 +201,12 @@
 		w.atNew, w.lastNew = w.atNew+1, w.now
 		b := w.bad
 		if (b.route == "" || b.route == route) && w.now >= b.from && w.running[chosen] > b.loaded && w.rng.Float64() < b.rate {
-			if a.bad = true; b.slow {
+			a.bad, a.denied, a.failed = !b.denies, b.denies, !b.denies && !b.slow && !b.hangs
+			switch {
+			case b.slow:
 				took *= 5
-			} else {
-				a.failed = true
+			case b.hangs:
+				took = time.Minute
 			}
 		}
 	}
@@ -225,6 +230,9 @@
 			if a.failed {
 				result = rollout.Failed
 			}
+			if a.denied {
+				result = rollout.Unjudged
+			}
 			a.entry.set.Ended(w.now, a.id, result)
 		}
 		return true
@@ -344,6 +352,7 @@
 func TestVerdictsAndExposureInRandomHistories(t *testing.T) {
 	kinds := map[string]badness{
 		"good": {}, "fails at once": {rate: 0.3}, "slow at once": {rate: 0.4, slow: true}, "fails always": {rate: 1}, "slow always": {rate: 1, slow: true},
+		"hangs": {rate: 1, hangs: true}, "turns all away": {rate: 1, denies: true},
 		"fails later": {rate: 0.4, from: 3 * time.Second}, "fails under load": {rate: 0.6, loaded: 1, busy: true}, "one route": {rate: 0.6, route: "look"}, "one route slow": {rate: 0.7, route: "book", slow: true},
 	}
 	names := slices.Sorted(func(yield func(string) bool) {
@@ -397,7 +406,7 @@
 			g.Expect(w.completedWith).To(BeNumerically("<=", 0), "runs of the old version that can't be repeated")
 		} else {
 			g.Expect(w.atNew).To(BeNumerically("<=", share*float64(w.total)+slack), "%s: %d bad answers", name, w.badAnswers)
-			g.Expect(w.lateRequests()).To(BeFalse(), "%s: 50th bad %v, last %v, written %v, %+v", name, w.badAt[min(49, len(w.badAt)-1)], w.lastNew, w.written, w.entries[0].set.Describe(w.now))
+			g.Expect(w.lateRequests()).To(BeFalse(), "%s: requests at the target after its 50th bad answer: %+v", name, w.entries[0].set.Describe(w.now))
 		}
 		g.Expect(verdict).To(Equal(wanted), "%s: %d of %d requests, %d bad answers: %+v", name, w.atNew, w.total, w.badAnswers, w.entries[0].set.Describe(w.now))
 		w.run(16*time.Second, nil)
--- a/coord/rollout/step.go
+++ b/coord/rollout/step.go
@@ -71,11 +71,13 @@
 	case phase != Running || !at.Writes:
 	case age >= last && !listed:
 		return RolledBack, "no endpoint of the version"
+	case age >= last && sum.total().silent():
+		return RolledBack, "too few of the requests were answered"
 	case age >= last && s.suspect(sum):
 		return RolledBack, "perhaps worse than the version before at the last moment"
 	case age >= last && at.Stored:
 		return Moving, "no worse than the version before at the last moment"
-	case age >= s.moveAt() && at.Stored && s.isStarted() && sum.enough(triedShare*s.cfg.ExposureShare) && !s.suspect(sum):
+	case age >= s.moveAt() && at.Stored && s.isStarted() && sum.enough(triedShare*s.cfg.ExposureShare) && !sum.total().silent() && !s.suspect(sum):
 		return Moving, "no worse than the version before"
 	}
 	return phase, ""
