--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -181,3 +181,64 @@
 		})
 	}
 }
+
+// Old endpoints stop at once when a version is completed. What runs there at any heard entry and
+// can't be repeated must have ended before, and streams that have begun are waited for while there
+// is time.
+func TestCompletedWaitsForWhatRunsAtTheOldVersion(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		atPeer     bool // the run is another entry's
+		repeatable bool
+		begun      bool // a stream that has events
+		unheard    bool // the other entry is not heard
+		heldUntil  time.Duration
+	}{
+		"own run":                         {heldUntil: 15 * second},
+		"another entry's run":             {atPeer: true, heldUntil: 15 * second},
+		"stream that can't be resumed":    {begun: true, heldUntil: 15 * second},
+		"stream that can be resumed":      {begun: true, repeatable: true, heldUntil: 11_280 * ms},
+		"another's stream":                {atPeer: true, begun: true, repeatable: true, heldUntil: 11_280 * ms},
+		"repeatable":                      {repeatable: true, heldUntil: 10_800 * ms},
+		"run of an entry that is unheard": {atPeer: true, unheard: true, heldUntil: 10_800 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			writer, peer := newSet(), newSet()
+			sets := []*rollout.Set{writer, peer}
+			for _, s := range sets {
+				s.SetListed(map[string]map[string]string{service: {"a": "v1", "b": "v2"}})
+				s.Observe(0, orderOf("v2", 1, 5), false)
+			}
+			runner := writer
+			if c.atPeer {
+				runner = peer
+			}
+			completedAt := time.Duration(0)
+			for now := 100 * ms; now < 20*second && completedAt == 0; now += 20 * ms {
+				if now == 6*second {
+					runner.Placed(now, rollout.Placement{ID: 1, Service: service, Route: "book", Version: "v1", Repeatable: c.repeatable})
+				}
+				if now == 6*second+40*ms && c.begun {
+					runner.FirstEvent(now, 1)
+				}
+				if now == 15*second {
+					runner.Ended(now, 1, rollout.Answered)
+				}
+				heard := []string{"peer"}
+				if c.unheard && now > 6*second {
+					heard = nil
+				} else {
+					peer.Receive(now, "writer", "1", writer.Reports(now, true))
+					writer.Receive(now, "peer", "1", peer.Reports(now, true))
+				}
+				writer.Step(now, rollout.Situation{Entries: 2, Heard: heard, Current: true, Stored: true}, func(string) bool { return true })
+				if writer.Wanted(now, heard)[0].Phase == rollout.Completed {
+					completedAt = now
+				}
+			}
+			g.Expect(completedAt).To(BeNumerically(">=", c.heldUntil))
+			g.Expect(completedAt).To(BeNumerically("<=", c.heldUntil+100*ms))
+		})
+	}
+}
