--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -193,7 +193,7 @@
 		if e.serviceTime > 0 {
 			serviceTimes = append(serviceTimes, e.serviceTime.Seconds())
 		}
-		if !e.usable(now) || info.Engine && s.places != nil && s.places.Closed(now, e.ID) {
+		if !e.usable(now) || info.Engine && s.places != nil && s.places.Closed(now, e.ID) || s.isClosed(e) {
 			continue
 		}
 		peerLoad := s.peers.loads[e.ID]
@@ -328,6 +328,7 @@
 			suitable = append(suitable, c)
 		}
 	}
+	suitable = s.preferVersion(r, suitable)
 	if p.domains != nil {
 		return s.chooseByDomain(now, r, p, suitable)
 	}
@@ -369,6 +370,9 @@
 	if placement.Outside = s.cfg.FailureDomain != "" && !s.isHome(c.endpoint); p.domains != nil {
 		p.domains.placedIn(c.endpoint.FailureDomain, s.isHome(c.endpoint))
 	}
+	if r.versions != nil {
+		r.versions.Placed(r, placement)
+	}
 	if c.running++; !c.available(s.cfg.Overcommit) {
 		p.openCandidates--
 	}
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -30,6 +30,7 @@
 	statementsUsed, statementsIgnored        metric.Int64Counter
 	domainPlacements                         metric.Int64Counter
 	connectionsCut, transfersEnded           metric.Int64Counter
+	rolloutPhases, rolloutAnswers            metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -60,6 +61,8 @@
 		domainPlacements:       i.Counter("primrosespoke_domain_placements", "{request}", "requests sent to an endpoint inside or outside the front's failure domain, by service"),
 		connectionsCut:         i.Counter("primrosespoke_connections_cut", "{connection}", "connections that were cut or refused, by listener and what had run out"),
 		transfersEnded:         i.Counter("primrosespoke_transfers_ended", "{transfer}", "bodies and answers that callers sent or read slowly, and that were ended since others waited for their room, by kind"),
+		rolloutPhases:          i.Counter("primrosespoke_rollout_phases", "{change}", "changes of the phase of a roll-out, by service and the new phase"),
+		rolloutAnswers:         i.Counter("primrosespoke_rollout_answers", "{answer}", "answers by which a version that is rolled out was judged, by service, version and result"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -167,6 +170,18 @@
 	m.silentHomes.Add(context.Background(), 1)
 }
 
+// rolloutPhase counts a change of the phase of a roll-out.
+func (m *metrics) rolloutPhase(service, phase string) {
+	m.rolloutPhases.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("phase", phase)))
+}
+
+// rolloutAnswered counts answers of the old version or of the target of a roll-out.
+func (m *metrics) rolloutAnswered(service, version, result string, n int64) {
+	if n > 0 {
+		m.rolloutAnswers.Add(context.Background(), n, metric.WithAttributes(attribute.String("service", service), attribute.String("version", version), attribute.String("result", result)))
+	}
+}
+
 // placed counts an attempt that ended.
 func (m *metrics) placed(outcome string) {
 	m.placements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -133,9 +133,10 @@
 	Spill              []scheduler.SpillStatus    `json:"domain_spill,omitempty"` // what leaves the failure domain
 	CapLevels          map[string]float64         `json:"cap_levels"`
 	Limits             []limitDump                `json:"endpoint_limits,omitempty"`
-	Places             []places.EndpointStatus    `json:"places,omitempty"`              // of model engines
-	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`     // trials by part
-	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"`  // trials by content
+	Places             []places.EndpointStatus    `json:"places,omitempty"`             // of model engines
+	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`    // trials by part
+	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"` // trials by content
+	Rollouts           []rolloutDump              `json:"rollouts,omitempty"`
 	RestrictedRequests []string                   `json:"restricted_requests,omitempty"` // by content
 	Listeners          []intake.Status            `json:"listeners,omitempty"`           // what clients take of each
 }
@@ -192,6 +193,7 @@
 		Members: map[string]memberDump{}, Endpoints: c.directory.All(), Loads: c.scheduler.Status(now),
 		Waiting: c.scheduler.QueueLengths(), Spill: c.scheduler.SpillStatus(), CapLevels: c.limiter.Levels(now),
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
+		Rollouts: c.dumpRollouts(now),
 	}
 	d.addHeld(c.quarantine.Held())
 	for _, l := range c.front.intakes.all() {
