front: reports between failure domains carry the loads that matter there; frequent ones stay inside

With 22 fronts in 4 domains and 41 endpoints, frequent reports to groups by hash and full reports to all fronts sent 2.21 MB a second between domains, as much as the prompts in all, and 0.54 inside.

Where the failure domain is preferred, frequent reports go to the fronts of the domain. Three of four full reports to a front of another domain hold the loads at the endpoints of its domain alone (field 32); it keeps the others from the fourth. A front gets these only if it says that it understands them (field 31); fronts of the release before get and send all loads. Usage, ages, limits, evidence and demand are in each full report as before. Keys 20 to 24 can't be used for reports: each datagram is decoded as a direct one first, which has them, and a front of the release before could not read it.

New metric primrosespoke_report_bytes.

--- a/coord/scheduler/domains_simulation_test.go
+++ b/coord/scheduler/domains_simulation_test.go
@@ -23,6 +23,8 @@
 	cutOff   func(now time.Duration) int                 // the domain that no other reaches; -1 = none
 	variant  variant
 
+	whole [domainCount]map[int]scheduler.Report // the newest with all loads by front, as other domains have it
+
 	outside          int // placements in another domain
 	placed           int
 	crosswise        int // placements of two domains in each other within crosswiseWindow
@@ -55,6 +57,34 @@
 	return a == b || l.variant != homeOnly && !l.isCutOff(now, a) && !l.isCutOff(now, b)
 }
 
+// received returns the report of a front as it reaches another one. With the preference, fronts of other
+// domains get the loads at the endpoints of their domain in each report, and all loads in every fourth.
+func (l *domainLoad) received(w *simulation, now time.Duration, from, to int, r scheduler.Report) scheduler.Report {
+	if l == nil || l.variant != byDecision || frontDomain(from) == frontDomain(to) {
+		return r
+	}
+	domain := frontDomain(to)
+	if l.whole[domain] == nil {
+		l.whole[domain] = map[int]scheduler.Report{}
+	}
+	if (int(now/w.reportInterval)+domain)%4 == 0 {
+		l.whole[domain][from] = r
+		return r
+	}
+	merged := scheduler.Report{Loads: map[string]scheduler.Load{}, Demand: r.Demand, Arrivals: r.Arrivals, TTL: r.TTL}
+	for id, load := range l.whole[domain][from].Loads {
+		if l.engineIn(engineIndex(id)) != domain {
+			merged.Loads[id] = load
+		}
+	}
+	for id, load := range r.Loads {
+		if l.engineIn(engineIndex(id)) == domain {
+			merged.Loads[id] = load
+		}
+	}
+	return merged
+}
+
 // place counts a placement. It reports whether the request reaches its endpoint.
 func (l *domainLoad) place(w *simulation, now time.Duration, c *simCall, p scheduler.Placement) bool {
 	from, to := frontDomain(c.front), l.engineIn(engineIndex(p.Endpoint))
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -426,7 +426,7 @@
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
 			}); ok && i != j && (w.domains == nil || w.domains.hears(now, i, j)) && (!group || slices.Contains(groupNames, frontName(j))) {
-				other.peer(now, frontName(i), report)
+				other.peer(now, frontName(i), w.domains.received(w, now, i, j, report))
 			}
 		}
 	}
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -65,6 +65,7 @@
 	lastExpiry           time.Duration            // when expired rows and members were last removed
 	caps                 map[string]allowance.Cap // by account
 	workTimes            map[string]*workTimes    // by route
+	sendDatagram         func(address string, data []byte)
 }
 
 func newControl(f *Front) *control {
@@ -98,6 +99,7 @@
 		workTimes:      map[string]*workTimes{},
 		cancelable:     map[uint64]cancelableAttempt{},
 		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
+		sendDatagram:   f.sendReport,
 	}
 	c.scheduler.SetGate(c.sendLimits)
 	if f.config.Places {
--- a/daemon/front/members.go
+++ b/daemon/front/members.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/mirror"
+	"primrosespoke.dev/coord/scheduler"
 )
 
 // member is the row by which an entry announces itself to the others in the store.
@@ -29,10 +30,13 @@
 // memberState is what an entry knows of another one.
 type memberState struct {
 	member
-	lastChange time.Duration // when its row last changed or its last report came
-	sequence   uint64        // of its newest report
-	heardUntil time.Duration // when too many of its reports will have been missed
-	places     bool          // it gives out places of endpoints
+	lastChange time.Duration             // when its row last changed or its last report came
+	sequence   uint64                    // of its newest report
+	heardUntil time.Duration             // when too many of its reports will have been missed
+	places     bool                      // it gives out places of endpoints
+	takesPart  bool                      // it understands reports with loads in part
+	loads      map[string]scheduler.Load // of its newest report with all loads
+	loadsAt    time.Duration             // when that came; 0 = never
 }
 
 // members is the set of the other entries. An entry that stops writing its row and
@@ -101,7 +105,7 @@
 		known.lastChange = now
 		moved := known.Address != address
 		if known.Incarnation != incarnation {
-			known.sequence = 0
+			known.sequence, known.loads, known.loadsAt, known.takesPart = 0, nil, 0, false
 		}
 		known.Address, known.Incarnation = address, incarnation
 		return moved
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -26,7 +26,7 @@
 	waited, firstByte, total                 metric.Float64Histogram
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
-	domainPlacements                         metric.Int64Counter
+	domainPlacements, reportBytes            metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -53,6 +53,7 @@
 		answersGivenUp:         i.Counter("primrosespoke_answers_given_up", "{answer}", "answers of endpoints that were given up, since they were too long or there was no room for them, by reason"),
 		bodiesRefused:          i.Counter("primrosespoke_bodies_refused", "{request}", "requests refused since there was no room for their body"),
 		domainPlacements:       i.Counter("primrosespoke_domain_placements", "{request}", "requests sent to an endpoint inside or outside the front's failure domain, by service"),
+		reportBytes:            i.Counter("primrosespoke_report_bytes", "By", "bytes of reports sent to fronts inside and outside the front's failure domain"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -34,7 +34,8 @@
 }()
 
 // report is what entries send each other, often and without acknowledgement. It holds
-// current state and no changes, so the next report makes up for a lost one.
+// current state and no changes, so the next report makes up for a lost one. Keys 20 to 24 are those of
+// directReport, as which each datagram is decoded first, and can't be used.
 type report struct {
 	From            string             `cbor:"1,keyasint"`
 	Address         string             `cbor:"2,keyasint"`
@@ -54,6 +55,8 @@
 	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
 	Places          bool               `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
 	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
+	TakesPart       bool               `cbor:"31,keyasint,omitempty"` // the entry understands reports with LoadsInPart
+	LoadsInPart     bool               `cbor:"32,keyasint,omitempty"` // Loads holds the endpoints of the receiver's failure domain alone
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -89,8 +92,8 @@
 	case len(c.members.all) == 0:
 	case now >= r.lastFullReport+timing.interval(c.members.count()), r.urgent && now >= r.lastFullReport+timing.ReportInterval:
 		r.lastFullReport, r.lastGroupReport, r.urgent = now, now, false
-		c.report(c.fullReport(now), c.members.names())
-	case !c.front.config.Places && len(r.group) < len(c.members.all) && now >= r.lastGroupReport+timing.interval(len(r.group)+1):
+		c.sendFullReport(c.fullReport(now))
+	case !c.front.config.Places && len(r.group) > 0 && len(r.group) < len(c.members.all) && now >= r.lastGroupReport+timing.interval(len(r.group)+1):
 		r.lastGroupReport = now
 		c.report(c.loadReport(now), r.group)
 	}
@@ -108,6 +111,7 @@
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
 		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
 		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)), Places: c.front.config.Places && !c.front.draining.Load(),
+		TakesPart: c.reporting.byDomain,
 	}
 }
 
@@ -144,7 +148,8 @@
 	}
 	for _, name := range names {
 		if s := c.members.all[name]; s != nil {
-			c.front.sendReport(s.Address, data)
+			c.front.metrics.reportSent(len(data), s.FailureDomain != "" && s.FailureDomain != c.front.config.FailureDomain)
+			c.sendDatagram(s.Address, data)
 		}
 	}
 }
@@ -269,12 +274,13 @@
 	for id, l := range r.Loads {
 		loads[id] = scheduler.Load{Running: l[0], PromptTokens: l[1]}
 	}
+	loads = c.completeLoads(now, c.members.all[r.From], r, loads)
 	if len(r.Limits) > 0 {
 		c.mergeLimits(now, r.From, r.Limits)
 	}
 	validFor := missedReports * min(time.Duration(r.IntervalMS)*time.Millisecond, maxReportInterval)
 	c.members.setHeard(now, r.From, max(validFor, minHeardTime))
-	c.members.all[r.From].places = r.Places
+	c.members.all[r.From].places, c.members.all[r.From].takesPart = r.Places, r.TakesPart
 	if c.front.config.Places && !r.Places { // it gives out none, or runs a version without
 		c.places.SetForeign(now, r.From, placeLoads(loads))
 	}
