--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -66,6 +66,7 @@
 	caps                 map[string]allowance.Cap // by account
 	workTimes            map[string]*workTimes    // by route
 	rollouts             rolloutState
+	sendDatagram         func(address string, data []byte)
 }
 
 func newControl(f *Front) *control {
@@ -100,6 +101,7 @@
 		cancelable:     map[uint64]cancelableAttempt{},
 		members:        newMembers(f.config.ID, f.config.Timing.MemberTTL),
 		rollouts:       newRolloutState(f),
+		sendDatagram:   f.sendReport,
 	}
 	c.scheduler.SetGate(c.sendLimits)
 	if c.rollouts.set != nil {
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -28,9 +28,9 @@
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
 	statementsUsed, statementsIgnored        metric.Int64Counter
-	domainPlacements                         metric.Int64Counter
 	connectionsCut, transfersEnded           metric.Int64Counter
 	rolloutPhases, rolloutAnswers            metric.Int64Counter
+	domainPlacements, reportBytes            metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -63,6 +63,7 @@
 		transfersEnded:         i.Counter("primrosespoke_transfers_ended", "{transfer}", "bodies and answers that callers sent or read slowly, and that were ended since others waited for their room, by kind"),
 		rolloutPhases:          i.Counter("primrosespoke_rollout_phases", "{change}", "changes of the phase of a roll-out, by service and the new phase"),
 		rolloutAnswers:         i.Counter("primrosespoke_rollout_answers", "{answer}", "answers by which a version that is rolled out was judged, by service, version and result"),
+		reportBytes:            i.Counter("primrosespoke_report_bytes", "By", "bytes of reports sent to fronts inside and outside the front's failure domain"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
