scheduler: client accounts share scarce slots max-min by work

Callers of ordinary accounts were refused while one account sent 7.5 times its usual amount: slots went to requests by latest start whatever their account, and a front with the flood drew a larger part of the slots by its demand.

Package fairshare computes from the recent work of accounts, own and reported by peers, up to which work each account is served. Within a rank, requests beyond their account's share go after the others, and they do not raise a front's part of the slots.

--- a/coord/scheduler/order.go
+++ b/coord/scheduler/order.go
@@ -87,6 +87,9 @@
 	s.placedShares[rankOf(r)] = observe(ofRank, ok)
 	ofAll, ok := s.placedShareOfAll[r.Service]
 	s.placedShareOfAll[r.Service] = observe(ofAll, ok)
+	if state := s.sharings[r.Service]; state != nil {
+		state.ledger.Decided(r.Account, placed)
+	}
 }
 
 // isStarving reports whether so few requests of a rank are placed that it goes before others.
@@ -106,6 +109,7 @@
 	work        float64 // expected slot-seconds
 	tooLate     bool    // its answer can't come before its caller leaves
 	starving    bool    // see Scheduler.isStarving
+	class       int     // by the share of its account; see fairshare.Division.Next
 }
 
 // assess computes the prospects of the requests of a queue.
@@ -130,6 +134,7 @@
 		compareBool(b.prospect.starving, a.prospect.starving),
 		cmp.Compare(a.AccountPriority, b.AccountPriority),
 		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.prospect.class, b.prospect.class),
 	)
 }
 
@@ -151,15 +156,21 @@
 // answer more callers.
 func (s *Scheduler) takeTurns(queue []*Request) {
 	for len(queue) > 0 {
-		equal := 1
-		for equal < len(queue) && compareRank(queue[0], queue[equal]) == 0 {
-			equal++
-		}
+		equal := countEqualRank(queue)
 		s.interleave(queue[:equal])
 		queue = queue[equal:]
 	}
 }
 
+// countEqualRank counts the first requests of a sorted queue that are of equal rank.
+func countEqualRank(queue []*Request) int {
+	equal := 1
+	for equal < len(queue) && compareRank(queue[0], queue[equal]) == 0 {
+		equal++
+	}
+	return equal
+}
+
 // interleave reorders requests that are sorted by their latest start: in each leastWorkTurn, one is that
 // with the least work of those left.
 func (s *Scheduler) interleave(byStart []*Request) {
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -119,6 +119,7 @@
 	meanSlots         float64       // of the candidates, whether they may be in use or not
 	ownRunning        int           // runs of this entry
 	ownLimit          int           // most runs that this entry may have
+	excessLimit       int           // most runs of which a request beyond its account's share may be started
 	eventInterval     float64       // seconds
 	promptRate        float64       // prompt tokens per second
 	bestPromptRate    float64       // promptRate of the fastest candidate
@@ -135,6 +136,7 @@
 	p := s.pool(now, service)
 	s.assess(now, queue, p)
 	sortByStart(queue)
+	s.shareOut(now, service, queue, p)
 	mayPlace := p.openCandidates > 0
 	if mayPlace {
 		s.takeTurns(queue)
@@ -227,6 +229,7 @@
 		}
 	}
 	p.ownLimit = s.ownLimit(service, p)
+	p.excessLimit = p.ownLimit
 	return p
 }
 
@@ -281,18 +284,21 @@
 	return int(math.Ceil(float64(slots) * float64(own) / float64(total)))
 }
 
-// mayStart reports whether this entry may start one more run.
-func (p *pool) mayStart() bool {
+// mayStart reports whether this entry may start one more run, of a request.
+func (p *pool) mayStart(r *Request) bool {
 	if p.pacer != nil {
 		return p.pacer.allows(p.serviceTime)
 	}
+	if r.prospect.class > 0 {
+		return p.ownRunning < p.excessLimit
+	}
 	return p.ownRunning < p.ownLimit
 }
 
 // chooseEndpoint returns the endpoint with the lowest expected cost, and that cost. It
 // returns nil where the request should wait.
 func (s *Scheduler) chooseEndpoint(now time.Duration, r *Request, p *pool) (*candidate, float64) {
-	mayStart := p.mayStart() || r.StreamStarted
+	mayStart := p.mayStart(r) || r.StreamStarted
 	if p.openCandidates == 0 || !mayStart && !p.homes {
 		return nil, 0
 	}
@@ -336,6 +342,9 @@
 	}
 	s.started[r.Service]++
 	s.observeDecision(r, true)
+	if state := s.sharings[r.Service]; state != nil {
+		state.ledger.Start(now, r.Account, r.prospect.work)
+	}
 	s.runs[r.ID] = &run{request: *r, endpoint: c.endpoint, sentAt: now, lastByteAt: now, expectedFirstEvent: placement.ExpectedFirstEvent}
 	c.endpoint.runs[r.ID] = s.runs[r.ID]
 	placement.SendBefore = s.gate.Take(now, c.endpoint.ID)
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -78,6 +78,9 @@
 // are jittered, so that requests refused together are not retried together.
 func (s *Scheduler) refuse(now time.Duration, r *Request, reason Reason, p *pool, queued int) Refusal {
 	s.observeDecision(r, false)
+	if state := s.sharings[r.Service]; state != nil && r.offered {
+		state.ledger.Withdraw(now, r.offeredAt, r.Account, r.offeredWork)
+	}
 	switch {
 	case reason == ReasonNoVersion:
 	case len(p.candidates) == 0:
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -65,6 +65,10 @@
 	Version string
 
 	prospect prospect // as of the last plan
+	offered  bool     // counted in the recent work of its account
+	// offeredAt and offeredWork are when that was, and its slot-seconds.
+	offeredAt   time.Duration
+	offeredWork float64
 }
 
 // mayRunAt reports whether an endpoint has a software version that may run the request.
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/fairshare"
 	"primrosespoke.dev/coord/invariant"
 	"primrosespoke.dev/coord/places"
 )
@@ -69,6 +70,11 @@
 	Demand map[string]int
 	// Arrivals holds the recent requests per second by plain service.
 	Arrivals map[string]float64
+	// Work holds the recent work of client accounts by service, see Scheduler.Work; nil = not stated, so
+	// that of the report before stays.
+	Work map[string]fairshare.Work
+	// Excess counts the waiting requests beyond their accounts' shares by service; they are part of Demand.
+	Excess map[string]int
 	// TTL is how long the report is used where that is longer than Config.ReportTTL.
 	TTL time.Duration
 }
@@ -92,6 +98,7 @@
 	placedShareOfAll map[string]float64      // the same of all ranks, by service
 	refusedWork      map[string]*refusedWork // by service
 	gate             Gate
+	sharings         map[string]*sharing          // by service whose slots accounts share
 	restricted       map[string]*restrictedDemand // by service with restricted endpoints
 	pacers           map[string]*pacer            // by plain service
 	places           *places.Places               // of model engines; nil = none
@@ -107,7 +114,7 @@
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
 		queues: map[string][]*Request{}, peers: newPeers(), biases: map[string]*bias{}, started: map[string]int{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
 		pacers: map[string]*pacer{}, wants: map[string]want{}, parts: map[string]endpointParts{},
-		gate: openGate{}, restricted: map[string]*restrictedDemand{},
+		sharings: map[string]*sharing{}, gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
 }
 
@@ -179,6 +186,7 @@
 			r.Demand[service] += len(queue)
 		}
 	}
+	r.Excess = s.excessDemand()
 	return r
 }
 
@@ -299,6 +307,9 @@
 		e.observeOutcome(true)
 	case Rejected:
 		s.reached(e, true)
+		if state := s.sharings[e.Service]; state != nil {
+			state.ledger.Refund(now, r.request.Account, r.request.prospect.work)
+		}
 		e.ejectedUntil = max(e.ejectedUntil, now+rejectEjection)
 	case Unreachable:
 		s.reached(e, false)
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -408,11 +408,14 @@
 // exchangeReports delivers each front's report to the other fronts, or to those of its group.
 func (w *simulation) exchangeReports(now time.Duration, group bool) {
 	for i, from := range w.fronts {
-		sender, ok := from.(*adapter)
+		sender, ok := from.(interface{ reporter() *scheduler.Scheduler })
 		if !ok {
 			continue
 		}
-		report, groupNames := sender.s.Report(now), sender.s.Group()
+		report, groupNames := sender.reporter().Report(now), sender.reporter().Group()
+		if !group {
+			report.Work = sender.reporter().Work(now)
+		}
 		for j, to := range w.fronts {
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
@@ -434,9 +437,13 @@
 }
 
 func newSchedulerPolicy(d deployment, i int, rows []directory.Endpoint) policy {
-	s := scheduler.New(scheduler.Config{
-		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin,
-	}, rand.New(rand.NewSource(d.seed*1000+int64(i))))
+	return newSchedulerPolicyWith(d, i, rows, scheduler.Config{})
+}
+
+// newSchedulerPolicyWith is newSchedulerPolicy with other settings than the defaults.
+func newSchedulerPolicyWith(d deployment, i int, rows []directory.Endpoint, cfg scheduler.Config) policy {
+	cfg.ReportTTL, cfg.RefuseMargin = scheduler.DefaultReportTTL, scheduler.DefaultRefuseMargin
+	s := scheduler.New(cfg, rand.New(rand.NewSource(d.seed*1000+int64(i))))
 	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens}})
 	s.SetEndpoints(rows)
 	var others []string
@@ -450,13 +457,19 @@
 }
 
 func (o *adapter) enqueue(now time.Duration, c *simCall) {
-	o.s.Enqueue(scheduler.Request{
+	o.s.Enqueue(callRequest(now, c))
+}
+
+// callRequest describes a call that arrives now to the scheduler.
+func callRequest(now time.Duration, c *simCall) scheduler.Request {
+	return scheduler.Request{
 		ID: c.id, Service: "model", Priority: c.kind.priority, Stream: true,
 		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, GapTarget: 400 * ms,
 		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline,
-	})
+	}
 }
 
+func (o *adapter) reporter() *scheduler.Scheduler          { return o.s }
 func (o *adapter) plan(now time.Duration) scheduler.Plan   { return o.s.Plan(now) }
 func (o *adapter) firstEvent(now time.Duration, id uint64) { o.s.FirstEvent(now, id) }
 
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -129,12 +129,14 @@
 	Endpoints          []directory.Endpoint       `json:"endpoints"`
 	Loads              []scheduler.EndpointStatus `json:"loads"`
 	Waiting            map[string]int             `json:"waiting"`
-	CapLevels          map[string]float64         `json:"cap_levels"`
-	Limits             []limitDump                `json:"endpoint_limits,omitempty"`
-	Places             []places.EndpointStatus    `json:"places,omitempty"`              // of model engines
-	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`     // trials by part
-	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"`  // trials by content
-	RestrictedRequests []string                   `json:"restricted_requests,omitempty"` // by content
+	// Sharing is how client accounts share the services where they do, by service.
+	Sharing            map[string]scheduler.SharingStatus `json:"account_sharing,omitempty"`
+	CapLevels          map[string]float64                 `json:"cap_levels"`
+	Limits             []limitDump                        `json:"endpoint_limits,omitempty"`
+	Places             []places.EndpointStatus            `json:"places,omitempty"`              // of model engines
+	ConvictedParts     map[string]int                     `json:"convicted_parts,omitempty"`     // trials by part
+	ConvictedRequests  map[string]int                     `json:"convicted_requests,omitempty"`  // trials by content
+	RestrictedRequests []string                           `json:"restricted_requests,omitempty"` // by content
 }
 
 // addHeld adds the subjects that are held back.
@@ -187,7 +189,7 @@
 	d := Dump{
 		ID: c.front.config.ID, Incarnation: c.front.incarnation, NotReady: c.front.notReady(),
 		Members: map[string]memberDump{}, Endpoints: c.directory.All(), Loads: c.scheduler.Status(now),
-		Waiting: c.scheduler.QueueLengths(), CapLevels: c.limiter.Levels(now),
+		Waiting: c.scheduler.QueueLengths(), Sharing: c.scheduler.Sharing(now), CapLevels: c.limiter.Levels(now),
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
 	}
 	d.addHeld(c.quarantine.Held())
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/allowance"
+	"primrosespoke.dev/coord/fairshare"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/coord/staleness"
 )
@@ -54,6 +55,15 @@
 	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
 	Places          bool               `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
 	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
+	// The keys from 20 to 24 are those of a directReport, for which older entries would take a report that has them.
+	Work   map[string]accountWork `cbor:"30,keyasint,omitempty"` // recent work of client accounts, by service, in full reports
+	Excess map[string]int         `cbor:"31,keyasint,omitempty"` // the part of Demand that waits beyond its accounts' shares, by service
+}
+
+// accountWork is the recent work of client accounts at one service, in fairshare.Unit.
+type accountWork struct {
+	Started int64            `cbor:"1,keyasint"`
+	Offered map[string]int64 `cbor:"2,keyasint,omitempty"` // by account
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -105,11 +115,27 @@
 	c.reporting.sequence++
 	return report{
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
-		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
+		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, Excess: own.Excess, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
 		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)), Places: c.front.config.Places && !c.front.draining.Load(),
 	}
 }
 
+func encodeWork(work map[string]fairshare.Work) map[string]accountWork {
+	encoded := make(map[string]accountWork, len(work))
+	for service, w := range work {
+		encoded[service] = accountWork(w)
+	}
+	return encoded
+}
+
+func decodeWork(encoded map[string]accountWork) map[string]fairshare.Work {
+	work := make(map[string]fairshare.Work, len(encoded))
+	for service, w := range encoded {
+		work[service] = fairshare.Work(w)
+	}
+	return work
+}
+
 // encodeAges returns the age of what a monitor follows, and how long it was read steadily;
 // empty = never read.
 func encodeAges(m *staleness.Monitor, now time.Duration) []int64 {
@@ -123,7 +149,7 @@
 // fullReport returns a report that also carries usage.
 func (c *control) fullReport(now time.Duration) report {
 	r := c.loadReport(now)
-	r.Full, r.Usage = true, c.limiter.Usage()
+	r.Full, r.Usage, r.Work = true, c.limiter.Usage(), encodeWork(c.scheduler.Work(now))
 	r.UptimeMS = max((now - c.startedAt).Milliseconds(), 1)
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
 	if c.reporting.fullReports%levelsReportInterval == 0 {
@@ -216,6 +242,12 @@
 	for service, n := range r.Demand {
 		r.Demand[service] = clampCount(n)
 	}
+	for service, n := range r.Excess {
+		r.Excess[service] = min(clampCount(n), r.Demand[service])
+	}
+	work := decodeWork(r.Work)
+	scheduler.LimitAccounts(work)
+	r.Work = encodeWork(work)
 	r.IntervalMS = min(max(r.IntervalMS, 0), maxReportInterval.Milliseconds())
 	r.Limits = slices.DeleteFunc(r.Limits, func(l limitState) bool { return !l.usable() })
 }
@@ -277,7 +309,11 @@
 	if c.front.config.Places && !r.Places { // it gives out none, or runs a version without
 		c.places.SetForeign(now, r.From, placeLoads(loads))
 	}
-	c.scheduler.SetPeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, Arrivals: r.Arrivals, TTL: validFor})
+	loadReport := scheduler.Report{Loads: loads, Demand: r.Demand, Arrivals: r.Arrivals, Excess: r.Excess, TTL: validFor}
+	if r.Full {
+		loadReport.Work = decodeWork(r.Work)
+	}
+	c.scheduler.SetPeerReport(now, r.From, loadReport)
 	if len(r.ListMS) == 2 {
 		c.list.SetPeer(now, r.From, staleness.Report{
 			Age: age(r.ListMS[0]), Steady: age(r.ListMS[1]),
