--- a/coord/scheduler/domains.go
+++ b/coord/scheduler/domains.go
@@ -187,9 +187,12 @@
 	}
 	d.ownDemand = float64(p.ownRunning + len(s.queues[service]))
 	d.demand = d.ownDemand
+	ownExcess := float64(beyondShares(s.queues[service]))
+	excess := ownExcess
 	for _, name := range s.entries {
 		if r, ok := s.peers.reports[name]; ok && s.domainOf[name] == s.cfg.FailureDomain {
 			d.demand += float64(r.Demand[service])
+			excess += float64(r.Excess[service])
 			d.domainRate += r.Arrivals[service]
 			d.entries++
 		}
@@ -199,7 +202,7 @@
 	entries := float64(len(s.peers.reports) + 1)
 	d.limit = home
 	if d.demand > d.decision.Home {
-		d.limit = int(math.Ceil(d.decision.Home * d.ownDemand / d.demand))
+		d.limit = int(math.Ceil(homeShare(d.decision.Home, d.ownDemand-ownExcess, d.demand-excess, ownExcess, excess)))
 	}
 	d.leavingHere = d.decision.Leaving * d.ownDemand / max(d.demand, 1)
 	for name, spare := range d.decision.Spare {
@@ -210,6 +213,19 @@
 	p.domains = d
 }
 
+// homeShare returns this entry's part of the slots of its domain: in proportion to the demand within
+// the accounts' shares, and of what that leaves in proportion to the rest. An account that floods
+// through one entry would otherwise draw the slots of the others there.
+func homeShare(home, own, all, ownExcess, excess float64) float64 {
+	switch {
+	case all >= home && all > 0:
+		return home * own / all
+	case excess > 0:
+		return own + (home-all)*ownExcess/excess
+	}
+	return home
+}
+
 // domainPosition returns this entry's position among those of its domain, from 0 to below 1.
 func (s *Scheduler) domainPosition() float64 {
 	entries := s.domainEntries()
--- a/daemon/front/operator.go
+++ b/daemon/front/operator.go
@@ -121,24 +121,25 @@
 
 // Dump is the state of a front as served to operators.
 type Dump struct {
-	ID                 string                     `json:"id"`
-	Incarnation        string                     `json:"incarnation"`
-	NotReady           string                     `json:"not_ready,omitempty"`
-	Version            int64                      `json:"configuration_version"`
-	ConfigurationAgeMS int64                      `json:"configuration_age_ms"`
-	Members            map[string]memberDump      `json:"members"`
-	Endpoints          []directory.Endpoint       `json:"endpoints"`
-	Loads              []scheduler.EndpointStatus `json:"loads"`
-	Waiting            map[string]int             `json:"waiting"`
-	Spill              []scheduler.SpillStatus    `json:"domain_spill,omitempty"` // what leaves the failure domain
-	CapLevels          map[string]float64         `json:"cap_levels"`
-	Limits             []limitDump                `json:"endpoint_limits,omitempty"`
-	Places             []places.EndpointStatus    `json:"places,omitempty"`             // of model engines
-	ConvictedParts     map[string]int             `json:"convicted_parts,omitempty"`    // trials by part
-	ConvictedRequests  map[string]int             `json:"convicted_requests,omitempty"` // trials by content
-	Rollouts           []rolloutDump              `json:"rollouts,omitempty"`
-	RestrictedRequests []string                   `json:"restricted_requests,omitempty"` // by content
-	Listeners          []intake.Status            `json:"listeners,omitempty"`           // what clients take of each
+	ID                 string                             `json:"id"`
+	Incarnation        string                             `json:"incarnation"`
+	NotReady           string                             `json:"not_ready,omitempty"`
+	Version            int64                              `json:"configuration_version"`
+	ConfigurationAgeMS int64                              `json:"configuration_age_ms"`
+	Members            map[string]memberDump              `json:"members"`
+	Endpoints          []directory.Endpoint               `json:"endpoints"`
+	Loads              []scheduler.EndpointStatus         `json:"loads"`
+	Waiting            map[string]int                     `json:"waiting"`
+	Spill              []scheduler.SpillStatus            `json:"domain_spill,omitempty"`    // what leaves the failure domain
+	Sharing            map[string]scheduler.SharingStatus `json:"account_sharing,omitempty"` // how client accounts share the services where they do, by service
+	CapLevels          map[string]float64                 `json:"cap_levels"`
+	Limits             []limitDump                        `json:"endpoint_limits,omitempty"`
+	Places             []places.EndpointStatus            `json:"places,omitempty"`             // of model engines
+	ConvictedParts     map[string]int                     `json:"convicted_parts,omitempty"`    // trials by part
+	ConvictedRequests  map[string]int                     `json:"convicted_requests,omitempty"` // trials by content
+	Rollouts           []rolloutDump                      `json:"rollouts,omitempty"`
+	RestrictedRequests []string                           `json:"restricted_requests,omitempty"` // by content
+	Listeners          []intake.Status                    `json:"listeners,omitempty"`           // what clients take of each
 }
 
 // addHeld adds the subjects that are held back.
@@ -191,7 +192,7 @@
 	d := Dump{
 		ID: c.front.config.ID, Incarnation: c.front.incarnation, NotReady: c.front.notReady(),
 		Members: map[string]memberDump{}, Endpoints: c.directory.All(), Loads: c.scheduler.Status(now),
-		Waiting: c.scheduler.QueueLengths(), Spill: c.scheduler.SpillStatus(), CapLevels: c.limiter.Levels(now),
+		Waiting: c.scheduler.QueueLengths(), Spill: c.scheduler.SpillStatus(), Sharing: c.scheduler.Sharing(now), CapLevels: c.limiter.Levels(now),
 		Limits: dumpLimits(c.sendLimits.Status(now)), Places: c.places.EndpointStatuses(now),
 		Rollouts: c.dumpRollouts(now),
 	}
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"primrosespoke.dev/coord/allowance"
+	"primrosespoke.dev/coord/fairshare"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/coord/staleness"
 )
@@ -37,27 +38,35 @@
 // current state and no changes, so the next report makes up for a lost one. Keys 20 to 24 are
 // those of directReport, by which entries tell the two apart.
 type report struct {
-	From            string             `cbor:"1,keyasint"`
-	Address         string             `cbor:"2,keyasint"`
-	Incarnation     string             `cbor:"3,keyasint"`
-	Sequence        uint64             `cbor:"4,keyasint"`
-	Loads           map[string][2]int  `cbor:"5,keyasint,omitempty"`  // running requests and prompt tokens, by endpoint ID
-	Demand          map[string]int     `cbor:"6,keyasint,omitempty"`  // requests in progress and waiting, by service
-	Usage           map[string]float64 `cbor:"7,keyasint,omitempty"`  // admitted since the entry's start, by account
-	Levels          map[string]float64 `cbor:"8,keyasint,omitempty"`  // what is left of the usage caps, by account
-	IntervalMS      int64              `cbor:"9,keyasint"`            // time to the next full report
-	Full            bool               `cbor:"10,keyasint,omitempty"` // it goes to all entries and carries usage
-	Subjects        []subjectEvidence  `cbor:"12,keyasint,omitempty"` // evidence about parts of prompts and requests, in full reports
-	Limits          []limitState       `cbor:"13,keyasint,omitempty"` // limits that endpoints name
-	ListMS          []int64            `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
-	ConfigurationMS []int64            `cbor:"14,keyasint,omitempty"` // the same of the configuration
-	UptimeMS        int64              `cbor:"17,keyasint,omitempty"` // since the entry's start, in full reports; 0 = unknown
-	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
-	Places          bool               `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
-	Rollouts        []reportedRollout  `cbor:"40,keyasint,omitempty"` // in full reports; those with a verdict in the store in some of them
-	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
-	TakesPart       bool               `cbor:"31,keyasint,omitempty"` // the entry understands reports with LoadsInPart
-	LoadsInPart     bool               `cbor:"32,keyasint,omitempty"` // Loads holds the endpoints of the receiver's failure domain alone
+	From            string                 `cbor:"1,keyasint"`
+	Address         string                 `cbor:"2,keyasint"`
+	Incarnation     string                 `cbor:"3,keyasint"`
+	Sequence        uint64                 `cbor:"4,keyasint"`
+	Loads           map[string][2]int      `cbor:"5,keyasint,omitempty"`  // running requests and prompt tokens, by endpoint ID
+	Demand          map[string]int         `cbor:"6,keyasint,omitempty"`  // requests in progress and waiting, by service
+	Usage           map[string]float64     `cbor:"7,keyasint,omitempty"`  // admitted since the entry's start, by account
+	Levels          map[string]float64     `cbor:"8,keyasint,omitempty"`  // what is left of the usage caps, by account
+	IntervalMS      int64                  `cbor:"9,keyasint"`            // time to the next full report
+	Full            bool                   `cbor:"10,keyasint,omitempty"` // it goes to all entries and carries usage
+	Subjects        []subjectEvidence      `cbor:"12,keyasint,omitempty"` // evidence about parts of prompts and requests, in full reports
+	Limits          []limitState           `cbor:"13,keyasint,omitempty"` // limits that endpoints name
+	ListMS          []int64                `cbor:"11,keyasint,omitempty"` // age of the endpoint list and how long it was read steadily; empty = never read
+	ConfigurationMS []int64                `cbor:"14,keyasint,omitempty"` // the same of the configuration
+	UptimeMS        int64                  `cbor:"17,keyasint,omitempty"` // since the entry's start, in full reports; 0 = unknown
+	Arrivals        map[string]float64     `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
+	Places          bool                   `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
+	Rollouts        []reportedRollout      `cbor:"40,keyasint,omitempty"` // in full reports; those with a verdict in the store in some of them
+	Listed          *versionSummary        `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
+	TakesPart       bool                   `cbor:"31,keyasint,omitempty"` // the entry understands reports with LoadsInPart
+	LoadsInPart     bool                   `cbor:"32,keyasint,omitempty"` // Loads holds the endpoints of the receiver's failure domain alone
+	Work            map[string]accountWork `cbor:"30,keyasint,omitempty"` // recent work of client accounts, by service, in full reports
+	Excess          map[string]int         `cbor:"33,keyasint,omitempty"` // the part of Demand that waits beyond its accounts' shares, by service
+}
+
+// accountWork is the recent work of client accounts at one service, in fairshare.Unit.
+type accountWork struct {
+	Started int64            `cbor:"1,keyasint"`
+	Offered map[string]int64 `cbor:"2,keyasint,omitempty"` // by account
 }
 
 // maxReportInterval limits the interval that another entry's report may state.
@@ -110,12 +119,28 @@
 	c.reporting.sequence++
 	return report{
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
-		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
+		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, Excess: own.Excess, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
 		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)), Places: c.front.config.Places && !c.front.draining.Load(),
 		TakesPart: c.reporting.byDomain,
 	}
 }
 
+func encodeWork(work map[string]fairshare.Work) map[string]accountWork {
+	encoded := make(map[string]accountWork, len(work))
+	for service, w := range work {
+		encoded[service] = accountWork(w)
+	}
+	return encoded
+}
+
+func decodeWork(encoded map[string]accountWork) map[string]fairshare.Work {
+	work := make(map[string]fairshare.Work, len(encoded))
+	for service, w := range encoded {
+		work[service] = fairshare.Work(w)
+	}
+	return work
+}
+
 // encodeAges returns the age of what a monitor follows, and how long it was read steadily;
 // empty = never read.
 func encodeAges(m *staleness.Monitor, now time.Duration) []int64 {
@@ -129,7 +154,7 @@
 // fullReport returns a report that also carries usage.
 func (c *control) fullReport(now time.Duration) report {
 	r := c.loadReport(now)
-	r.Full, r.Usage = true, c.limiter.Usage()
+	r.Full, r.Usage, r.Work = true, c.limiter.Usage(), encodeWork(c.scheduler.Work(now))
 	r.UptimeMS = max((now - c.startedAt).Milliseconds(), 1)
 	r.Subjects = encodeEvidence(c.quarantine.Report(now, maxReportedSubjects))
 	r.Rollouts = c.encodeRollouts(now, c.reporting.fullReports%levelsReportInterval == 0)
@@ -224,6 +249,12 @@
 	for service, n := range r.Demand {
 		r.Demand[service] = clampCount(n)
 	}
+	for service, n := range r.Excess {
+		r.Excess[service] = min(clampCount(n), r.Demand[service])
+	}
+	work := decodeWork(r.Work)
+	scheduler.LimitAccounts(work)
+	r.Work = encodeWork(work)
 	r.IntervalMS = min(max(r.IntervalMS, 0), maxReportInterval.Milliseconds())
 	r.Limits = slices.DeleteFunc(r.Limits, func(l limitState) bool { return !l.usable() })
 }
@@ -286,7 +317,11 @@
 	if c.front.config.Places && !r.Places { // it gives out none, or runs a version without
 		c.places.SetForeign(now, r.From, placeLoads(loads))
 	}
-	c.scheduler.SetPeerReport(now, r.From, scheduler.Report{Loads: loads, Demand: r.Demand, Arrivals: r.Arrivals, TTL: validFor})
+	loadReport := scheduler.Report{Loads: loads, Demand: r.Demand, Arrivals: r.Arrivals, Excess: r.Excess, TTL: validFor}
+	if r.Full {
+		loadReport.Work = decodeWork(r.Work)
+	}
+	c.scheduler.SetPeerReport(now, r.From, loadReport)
 	if len(r.ListMS) == 2 {
 		c.list.SetPeer(now, r.From, staleness.Report{
 			Age: age(r.ListMS[0]), Steady: age(r.ListMS[1]),
