intake: connections that pipeline requests are cut while others find none

Cause: such a client is never awaited, so its connection was never a candidate. Now it is cut between two requests for a second after connections ran out, before the handler is called, and a connection without room waits up to 20 ms.

--- a/daemon/intake/conn.go
+++ b/daemon/intake/conn.go
@@ -59,6 +59,7 @@
 	inLine            bool // the last byte read belongs to a line that is not empty
 	headEnded         bool
 	begun             bool // bytes were read
+	readSinceIdle     bool // bytes were read since the last request ended; guarded by the mutex
 }
 
 // awaited tells whether the client has to send something before its request can run.
@@ -164,6 +165,7 @@
 		return "", nil
 	}
 	c.moved = now
+	c.readSinceIdle = true
 	if !c.begun {
 		c.begun = true
 		c.shared = bytes.HasPrefix(p, prefaceStart)
--- a/daemon/intake/http.go
+++ b/daemon/intake/http.go
@@ -52,8 +52,14 @@
 		defer l.mu.Unlock()
 		switch state {
 		case http.StateActive:
+			// A request that was whole in the server's buffer before the last one ended was pipelined.
+			// The handler has not been called for it yet.
+			if now := time.Now(); !c.readSinceIdle && !c.shared && !c.cut && now.Before(l.crowdedUntil) {
+				l.cutConn(c, now, ReasonConnections)
+			}
 			c.enter(phaseRun)
 		case http.StateIdle:
+			c.readSinceIdle = false
 			c.enter(phaseIdle)
 			c.hold(ConnectionBytes)
 			c.writeDeadline = time.Time{} // was of the answer before
@@ -110,6 +116,9 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.cut {
+		return false
+	}
 	c.bodyBytes = 0
 	if hasBody {
 		c.enter(phaseBody)
--- a/daemon/intake/intake.go
+++ b/daemon/intake/intake.go
@@ -38,6 +38,12 @@
 	stillTime = time.Second
 	// reportInterval is the least time between two reports of a listener.
 	reportInterval = time.Second
+	// crowdedTime is how long after connections ran out those that pipeline requests are cut.
+	crowdedTime = time.Second
+	// admitWait is how long a connection for which there is no room waits for one, in steps of
+	// admitStep. It is short, since others wait behind it to be accepted.
+	admitWait = 20 * time.Millisecond
+	admitStep = 2 * time.Millisecond
 )
 
 // ErrCut is the error of reads and writes of a connection that was cut, and ErrNoRoom of a read of
@@ -119,12 +125,14 @@
 	net.Listener
 	limits Limits
 
-	mu      sync.Mutex
-	open    map[*Conn]struct{}
-	held    int64
-	totals  map[Reason]int64
-	pending map[Reason]int // since the last report
-	last    Cut
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+	held int64
+	// crowdedUntil is until when connections that pipeline requests are cut.
+	crowdedUntil time.Time
+	totals       map[Reason]int64
+	pending      map[Reason]int // since the last report
+	last         Cut
 }
 
 // NewListener returns a listener whose connections keep to limits.
@@ -139,27 +147,42 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.admit(inner); c != nil {
-			return c, nil
+		begin := time.Now()
+		for {
+			last := time.Since(begin) >= admitWait
+			if c := l.admit(inner, last); c != nil {
+				return c, nil
+			}
+			if last {
+				break
+			}
+			time.Sleep(admitStep)
 		}
 		refuseAtOnce(inner)
 	}
 }
 
-// admit takes up a connection, for which it may cut another one; nil = there is no room.
-func (l *Listener) admit(inner net.Conn) *Conn {
+// admit takes up a connection, for which it may cut another one; nil = there is no room. If last is
+// set, it is then counted as refused.
+func (l *Listener) admit(inner net.Conn, last bool) *Conn {
 	now := time.Now()
 	c := &Conn{Conn: inner, listener: l, since: now, moved: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.open) >= l.limits.MaxConnections {
+		l.crowdedUntil = now.Add(crowdedTime)
 		if !l.cutOne(now, nil, 0, ReasonConnections) {
-			l.record(c, now, ReasonConnections)
+			if last {
+				l.record(c, now, ReasonConnections)
+			}
 			return nil
 		}
 	}
 	if !l.makeRoom(now, nil, ConnectionBytes) {
-		l.record(c, now, ReasonMemory)
+		l.crowdedUntil = now.Add(crowdedTime)
+		if last {
+			l.record(c, now, ReasonMemory)
+		}
 		return nil
 	}
 	l.open[c] = struct{}{}
@@ -196,13 +219,18 @@
 	if first == nil || first == asking {
 		return false
 	}
-	l.record(first, now, reason)
-	l.remove(first)
-	first.cut = true
-	_ = first.Conn.Close() // its goroutine notices
+	l.cutConn(first, now, reason)
 	return true
 }
 
+// cutConn closes a connection; its goroutine notices.
+func (l *Listener) cutConn(c *Conn, now time.Time, reason Reason) {
+	l.record(c, now, reason)
+	l.remove(c)
+	c.cut = true
+	_ = c.Conn.Close()
+}
+
 // rank says how early a connection is cut: the greatest first.
 type rank struct {
 	still  bool
--- a/daemon/intake/intake_test.go
+++ b/daemon/intake/intake_test.go
@@ -186,6 +186,34 @@
 	s.g.Expect(s.listener.Status().Cut).To(HaveKeyWithValue(intake.ReasonConnections, int64(1)))
 }
 
+// Guards against clients that keep all connections by pipelining requests without end: while others
+// come, they are cut between two requests, and none runs of which the connection was cut.
+func TestPipeliningConnectionIsCutForOthers(t *testing.T) {
+	s := startServer(t, func(l *intake.Limits) { l.MaxConnections = 1 })
+	pipelining := s.send(strings.Repeat(get, 40))
+	defer pipelining.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				if _, err := io.WriteString(pipelining, strings.Repeat(get, 40)); err != nil {
+					return
+				}
+			}
+		}
+	}()
+	go func() { _, _ = io.Copy(io.Discard, pipelining) }()
+	s.g.Eventually(func() int {
+		conn := s.send(get)
+		defer conn.Close()
+		return s.status(conn)
+	}, waitLimit, pollInterval).Should(Equal(http.StatusOK))
+}
+
 // Guards against heads that together take more memory than there is.
 func TestHeadsStayWithinTheRoom(t *testing.T) {
 	const maxBytes = 1 << 20
