scheduler, memory, front: no request goes to an engine whose memory it may not fit into

Callers lost all streams of an engine at once: it crashes if the requests that it holds exceed its memory, and fronts that hear of each other 110 ms late sent several large prompts into the same free slot.

The new package coord/memory says whether a request fits, by the need of own runs and what others report, with headroom for what they may send before it is heard of. A request that does not fit waits, smaller ones go ahead, and memory is reserved for it at one engine; reports tell the others. What can't be started in time, or needs more than an engine has, is refused as not run (engine_memory). Reports have a key 19 (tokens held and reserved, by endpoint ID), which earlier versions ignore; their memory is estimated.

Metrics primrosespoke_engine_memory_waits and _refusals; need, free memory and wait in request_placed and request_refused; memory in the dump.

The candidates of a plan are allocated at once now.

--- a/coord/scheduler/bench_test.go
+++ b/coord/scheduler/bench_test.go
@@ -25,6 +25,19 @@
 	})
 }
 
+// BenchmarkPlanMemory measures the same with engines whose memory bounds what is sent there: ample, or so
+// little that requests wait for it.
+func BenchmarkPlanMemory(b *testing.B) {
+	for name, tokens := range map[string]int{"ample": 444_000, "scarce": 4000} {
+		b.Run(name, func(b *testing.B) {
+			benchmarkPlan(b, func(s *scheduler.Scheduler, rows []directory.Endpoint) {
+				s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: 2, Engine: true, EventTokens: 6, MemoryTokens: tokens}})
+				s.ObserveStatement(time.Millisecond, rows[0].ID, rows[0].Born, scheduler.Statement{Running: 1, Slots: 2, Pace: 1, HasPace: true})
+			})
+		})
+	}
+}
+
 func benchmarkPlan(b *testing.B, prepare func(*scheduler.Scheduler, []directory.Endpoint)) {
 	for _, size := range []struct {
 		endpoints, peers, waiting int
--- a/coord/scheduler/engine_test.go
+++ b/coord/scheduler/engine_test.go
@@ -12,6 +12,7 @@
 	slots      int
 	slowdown   float64 // multiplies all times
 	pace       float64 // multiplies all times too, for a while; 0 = 1
+	memory     int     // tokens; 0 = any number
 	queue      []*simRun
 	running    []*simRun
 	nextStepAt time.Duration
@@ -79,6 +80,17 @@
 	return events, ended
 }
 
+// overfull reports whether the requests that the engine holds exceed its memory.
+func (e *simEngine) overfull() bool {
+	held := 0
+	for _, list := range [][]*simRun{e.queue, e.running} {
+		for _, r := range list {
+			held += r.call.prompt + r.generated
+		}
+	}
+	return e.memory > 0 && held > e.memory
+}
+
 func (e *simEngine) currentPace() float64 {
 	if e.pace == 0 {
 		return 1
--- a/coord/scheduler/groups.go
+++ b/coord/scheduler/groups.go
@@ -27,6 +27,7 @@
 // Entries with different views of the membership lose time but no correctness.
 func (s *Scheduler) SetEntries(self string, others []string) {
 	s.self, s.entries = self, sortByHash(append(slices.Clone(others), self))
+	s.peers.setSelf(self)
 	s.byService = nil
 }
 
--- a/coord/scheduler/peers.go
+++ b/coord/scheduler/peers.go
@@ -3,27 +3,37 @@
 import (
 	"math"
 	"time"
+
+	"primrosespoke.dev/coord/memory"
 )
 
 // peers holds the newest reports of the other entries. It keeps their sums, since a plan
 // looks up every endpoint, and there may be many entries.
 type peers struct {
 	reports  map[string]peerReport
-	loads    map[string]Load    // by endpoint
-	demand   map[string]int     // by service
-	arrivals map[string]float64 // requests per second, by plain service
+	loads    map[string]peerLoad // by endpoint
+	self     string              // name of this entry
+	demand   map[string]int      // by service
+	arrivals map[string]float64  // requests per second, by plain service
 
 	receivedAt time.Duration // sum over all reports
 	nextExpiry time.Duration // no report expires before
 }
 
+// peerLoad is the load of all other entries at one endpoint.
+type peerLoad struct {
+	Load
+	unsizedRunning, unsizedPrompts int // of those that do not report the memory that they need
+	reservedFirst                  int // by those whose reservations precede this entry's
+}
+
 type peerReport struct {
 	Report
 	receivedAt time.Duration
 }
 
 func newPeers() peers {
-	return peers{reports: map[string]peerReport{}, loads: map[string]Load{}, demand: map[string]int{}, arrivals: map[string]float64{}}
+	return peers{reports: map[string]peerReport{}, loads: map[string]peerLoad{}, demand: map[string]int{}, arrivals: map[string]float64{}}
 }
 
 // set replaces the report of an entry.
@@ -32,23 +42,49 @@
 	p.reports[from] = peerReport{Report: r, receivedAt: now}
 	p.receivedAt += now
 	p.nextExpiry = min(p.nextExpiry, now+r.TTL) // or later, if Config.ReportTTL is longer
-	p.add(r, 1)
+	p.add(from, r, 1)
+}
+
+// setSelf sets the name of this entry, by which reservations precede each other.
+func (p *peers) setSelf(self string) {
+	if self == p.self {
+		return
+	}
+	for from, r := range p.reports {
+		p.add(from, r.Report, -1)
+	}
+	p.self = self
+	for from, r := range p.reports {
+		p.add(from, r.Report, 1)
+	}
 }
 
 func (p *peers) remove(from string) {
 	if known, ok := p.reports[from]; ok {
-		p.add(known.Report, -1)
+		p.add(from, known.Report, -1)
 		p.receivedAt -= known.receivedAt
 		delete(p.reports, from)
 	}
 }
 
-func (p *peers) add(r Report, sign int) {
+func (p *peers) add(from string, r Report, sign int) {
 	for id, l := range r.Loads {
 		sum := p.loads[id]
 		sum.Running += sign * l.Running
 		sum.PromptTokens += sign * l.PromptTokens
-		if sum == (Load{}) {
+		if l.MemoryTokens > 0 {
+			sum.MemoryTokens += sign * min(max(l.MemoryTokens, l.PromptTokens), l.Running*maxPeerNeed)
+		} else {
+			sum.unsizedRunning += sign * l.Running
+			sum.unsizedPrompts += sign * l.PromptTokens
+		}
+		if reserved := min(l.ReservedTokens, maxPeerNeed); reserved > 0 {
+			sum.ReservedTokens += sign * reserved
+			if memory.Precedes(from, p.self, id) {
+				sum.reservedFirst += sign * reserved
+			}
+		}
+		if sum == (peerLoad{}) {
 			delete(p.loads, id)
 			continue
 		}
--- a/coord/scheduler/places.go
+++ b/coord/scheduler/places.go
@@ -101,7 +101,7 @@
 	}
 	var choices []choice
 	for _, c := range p.candidates {
-		if c.regulated && c.open && !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) {
+		if c.regulated && c.open && !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) && s.hasMemory(now, r, c, p) {
 			cost := s.cost(now, r, c)
 			if over := c.running + c.asked + 1 - c.slots; over > 0 {
 				cost += fullCost * (1 + float64(over)/float64(c.slots))
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"primrosespoke.dev/coord/memory"
 )
 
 // Plan decides which requests to place, refuse and fail over now.
@@ -83,6 +85,9 @@
 	regulated           bool          // a request needs a place that the endpoint's home grants
 	granted             int           // such places that are not used yet
 	asked               int           // places asked for in this plan
+	peers               peerLoad      // of other entries, by their reports
+	room                memory.Room   // of an engine, if pool.memory
+	reserver            *Request      // this entry's waiting request for which memory is reserved; nil = none
 }
 
 // occupiableSlots counts the slots that may be in use. A restricted endpoint has few: those that
@@ -128,6 +133,9 @@
 	serviceTime       float64       // seconds
 	reportAge         time.Duration // age of the oldest report of another entry
 	pacer             *pacer        // of a plain service; nil for engines
+	memory            bool          // the memory of the endpoints bounds what is sent there
+	lackingNeed       int           // need that no engine has room for; 0 = none is known
+	reservationTime   time.Duration // after which all other entries know of a reservation of memory
 	homes             bool          // places of the endpoints are given out by their homes
 	staleness         float64       // mean age of the reports of other entries, in times that a run of a plain service lasts
 }
@@ -151,6 +159,10 @@
 			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonNoVersion, p, len(queue)))
 			continue
 		}
+		if s.fitsNoEngine(r, p) {
+			plan.Refusals = append(plan.Refusals, s.refuse(now, r, ReasonEngineMemory, p, len(queue)))
+			continue
+		}
 		c, cost := s.chooseEndpoint(now, r, p)
 		if c == nil {
 			left = append(left, r)
@@ -162,6 +174,9 @@
 	if mayPlace {
 		sortByStart(left)
 	}
+	if p.memory {
+		s.reserveMemory(now, left, p)
+	}
 	s.queues[service] = s.refuseBacklog(now, left, p, plan)
 	if p.homes {
 		s.askForPlaces(now, service, s.queues[service], p)
@@ -183,7 +198,10 @@
 	info := s.services[service]
 	stated := s.enabled(s.cfg.StatedLoad, service)
 	var intervals, serviceTimes []float64
-	for _, e := range s.endpointsOf(service) {
+	endpoints := s.endpointsOf(service)
+	candidates := make([]candidate, 0, len(endpoints)) // allocated at once, since there may be hundreds
+	p.candidates = make([]*candidate, 0, len(endpoints))
+	for _, e := range endpoints {
 		p.ownRunning += len(e.runs)
 		if e.eventInterval > 0 {
 			intervals = append(intervals, e.eventInterval.Seconds())
@@ -195,12 +213,13 @@
 			continue
 		}
 		peerLoad := s.peers.loads[e.ID]
-		c := &candidate{endpoint: e, slots: e.Slots, running: len(e.runs) + peerLoad.Running, pendingPromptTokens: e.pendingPromptTokens() + peerLoad.PromptTokens, slowdown: 1}
+		candidates = append(candidates, candidate{endpoint: e, slots: e.Slots, running: len(e.runs) + peerLoad.Running, pendingPromptTokens: e.pendingPromptTokens() + peerLoad.PromptTokens, slowdown: 1, peers: peerLoad})
+		c := &candidates[len(candidates)-1]
 		if c.slots == 0 {
 			c.slots = max(info.Slots, 1)
 		}
 		if stated {
-			c.running, c.slowdown = s.believedRunning(now, e), e.stated.Factor(now)
+			c.running, c.slowdown = s.believedBeside(now, e, peerLoad.Running), e.stated.Factor(now)
 			if _, at, known := e.stated.Last(); known {
 				c.statedAge = max(now-at, 1)
 			}
@@ -236,6 +255,9 @@
 		}
 	}
 	p.ownLimit = s.ownLimit(service, p)
+	if s.memoryMatters(service) {
+		s.measureMemory(now, service, p)
+	}
 	return p
 }
 
@@ -309,6 +331,10 @@
 	if p.openCandidates == 0 || !mayStart && !p.homes {
 		return nil, 0
 	}
+	if p.lacksFor(r) {
+		r.noteMemory(now)
+		return nil, 0
+	}
 	var best *candidate
 	lowest := math.Inf(1)
 	allAvoided := !slices.ContainsFunc(p.candidates, func(c *candidate) bool { return !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint) })
@@ -322,18 +348,25 @@
 			suitable = append(suitable, c)
 		}
 	}
+	lacking := 0 // engines that have a slot and no memory for it
 	for _, c := range s.comparable(p, suitable) {
 		cost := s.cost(now, r, c)
 		switch {
 		case !c.open: // when it opens does not depend on its slots
 		case !mayStart && !c.regulated: // the share of this entry is used
 		case c.freeSlots(s.cfg.Overcommit) <= 0:
+		case !s.hasMemory(now, r, c, p):
+			lacking++
 		case c.due:
 			return c, cost
 		case cost < lowest:
 			best, lowest = c, cost
 		}
 	}
+	if lacking > 0 && best == nil {
+		r.noteMemory(now)
+		p.noteLack(r, mayStart && lacking == p.openCandidates)
+	}
 	return best, lowest
 }
 
@@ -347,6 +380,14 @@
 	if p.pacer != nil && p.pacer.share < float64(p.slots) {
 		placement.Share = p.pacer.share
 	}
+	if p.memory {
+		placement.MemoryNeed, placement.MemoryFree = r.need(), c.room.Total-c.room.Held
+		if r.memory.lacking {
+			placement.MemoryWaited = now - r.memory.since
+		}
+		placement.MemoryReserved = c.reserver == r
+		c.takeMemory(r)
+	}
 	s.started[r.Service]++
 	s.observeDecision(r, true)
 	s.runs[r.ID] = &run{request: *r, endpoint: c.endpoint, sentAt: now, lastByteAt: now, expectedFirstEvent: placement.ExpectedFirstEvent}
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -78,8 +78,9 @@
 // are jittered, so that requests refused together are not retried together.
 func (s *Scheduler) refuse(now time.Duration, r *Request, reason Reason, p *pool, queued int) Refusal {
 	s.observeDecision(r, false)
+	reason = r.memoryReason(reason)
 	switch {
-	case reason == ReasonNoVersion:
+	case reason == ReasonNoVersion, reason == ReasonEngineMemory:
 	case len(p.candidates) == 0:
 		reason = ReasonNoEndpoint
 	case p.closed:
@@ -98,10 +99,10 @@
 	expected := time.Duration(backlog / s.usableSlots(r, p) * float64(time.Second))
 	after := time.Duration((0.75 + 0.5*s.rng.Float64()) * float64(max(expected, minRetryAfter)))
 	latest := s.latestReturn(now, r, p)
-	return Refusal{
+	return s.withMemory(r, Refusal{
 		Request: r.ID, Reason: reason, RetryAfter: min(after, max(latest, minRetryAfter), maxRetryAfter),
 		Waited: now - r.Arrived, Queued: queued,
-	}
+	})
 }
 
 // latestReturn returns after what time a caller should have sent a refused request again for its
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -65,6 +65,7 @@
 	Version string
 
 	prospect prospect // as of the last plan
+	memory   memoryState
 }
 
 // mayRunAt reports whether an endpoint has a software version that may run the request.
@@ -105,6 +106,12 @@
 	// Share is how many slots of a plain service this entry may use over time, while the demand
 	// of all entries exceeds them; 0 = it may use any.
 	Share float64
+	// MemoryNeed is what the request may need of an engine's memory and MemoryFree what was free there, in
+	// tokens, where memory counts. MemoryWaited is for how long the request lacked memory.
+	MemoryNeed, MemoryFree int
+	MemoryWaited           time.Duration
+	// MemoryReserved is set if memory was reserved there for it.
+	MemoryReserved bool
 	// Granted is set if the home of the endpoint gave a place for it.
 	Granted bool
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
@@ -132,6 +139,8 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests.
 	ReasonNoVersion Reason = "no_endpoint_of_version"
+	// ReasonEngineMemory: the request fits into the memory of no engine, or of none in time.
+	ReasonEngineMemory Reason = "engine_memory"
 )
 
 // Refusal is the decision to turn away a request that was not sent to an endpoint.
@@ -143,6 +152,9 @@
 	Waited     time.Duration
 	// Queued is how many requests waited for the service.
 	Queued int
+	// MemoryNeed is what the request may need of an engine's memory, and MemoryTokens what an engine has,
+	// if it was refused for lack of memory.
+	MemoryNeed, MemoryTokens int
 }
 
 // Plan holds the decisions to carry out now.
--- a/coord/scheduler/scheduler.go
+++ b/coord/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"primrosespoke.dev/coord/directory"
 	"primrosespoke.dev/coord/invariant"
+	"primrosespoke.dev/coord/memory"
 	"primrosespoke.dev/coord/places"
 )
 
@@ -59,6 +60,9 @@
 	Running int
 	// PromptTokens are the prompt tokens of requests without a first event.
 	PromptTokens int
+	// MemoryTokens is what these requests need of the endpoint's memory; 0 = unknown. ReservedTokens is
+	// what is to stay free for a request that waits.
+	MemoryTokens, ReservedTokens int
 }
 
 // Report is what an entry tells the others about its load.
@@ -93,10 +97,12 @@
 	refusedWork      map[string]*refusedWork // by service
 	gate             Gate
 	restricted       map[string]*restrictedDemand // by service with restricted endpoints
-	pacers           map[string]*pacer            // by plain service
-	places           *places.Places               // of model engines; nil = none
-	wants            map[string]want              // places to ask for, by endpoint
-	withheldSince    time.Duration                // when Withhold was first called since the last Plan, if withheld
+	needs            map[string]*memory.Needs     // of engines' memory, by service
+	longestReportAge longestAge
+	pacers           map[string]*pacer // by plain service
+	places           *places.Places    // of model engines; nil = none
+	wants            map[string]want   // places to ask for, by endpoint
+	withheldSince    time.Duration     // when Withhold was first called since the last Plan, if withheld
 	withheld         bool
 }
 
@@ -106,7 +112,7 @@
 		cfg: cfg, rng: rng,
 		endpoints: map[string]*endpoint{}, services: map[string]ServiceInfo{}, runs: map[uint64]*run{},
 		queues: map[string][]*Request{}, peers: newPeers(), biases: map[string]*bias{}, started: map[string]int{}, placedShares: map[rank]float64{}, placedShareOfAll: map[string]float64{}, refusedWork: map[string]*refusedWork{},
-		pacers: map[string]*pacer{}, wants: map[string]want{}, parts: map[string]endpointParts{},
+		pacers: map[string]*pacer{}, needs: map[string]*memory.Needs{}, wants: map[string]want{}, parts: map[string]endpointParts{},
 		gate: openGate{}, restricted: map[string]*restrictedDemand{},
 	}
 }
@@ -174,6 +180,7 @@
 			r.Demand[e.Service] += len(e.runs)
 		}
 	}
+	s.reportMemory(&r)
 	for service, queue := range s.queues {
 		if len(queue) > 0 {
 			r.Demand[service] += len(queue)
@@ -192,6 +199,9 @@
 	if !s.services[r.Service].Engine {
 		s.pacerOf(r.Service).arrive(r.Arrived)
 	}
+	if s.services[r.Service].MemoryTokens > 0 {
+		s.needsOf(r.Service).Observe(r.need())
+	}
 	s.queues[r.Service] = append(s.queues[r.Service], &r)
 }
 
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -90,6 +90,7 @@
 	byKind                       map[string][3]int // sent, on time, served
 	tokens, wastedTokens         int               // that engines worked on, and those of answers that were cut
 	calls                        []*simCall
+	crashes                      int // of engines whose memory was exceeded
 	placed, placedAtFull         int
 	placedAt                     map[string]int // by engine
 	idle, idleSamples            int            // places while requests are refused, and all at that time
@@ -163,6 +164,9 @@
 	trouble             func(w *simulation, now time.Duration)
 	states              func(w *simulation, e *simEngine) scheduler.Statement // nil = engines state nothing
 	statedLoad          scheduler.Mode
+	memory              int // tokens of each engine; 0 = any number
+	engineMemory        scheduler.Mode
+	unsized             bool // fronts with an odd number report no memory
 }
 
 var (
@@ -195,7 +199,7 @@
 	var rows []directory.Endpoint
 	for i := range w.deployment.engines {
 		id := fmt.Sprint("e", i)
-		w.engines[id] = &simEngine{id: id, slots: w.slots, slowdown: []float64{0.55, 1, 2.8}[i%3]}
+		w.engines[id] = &simEngine{id: id, slots: w.slots, memory: w.memory, slowdown: []float64{0.55, 1, 2.8}[i%3]}
 		rows = append(rows, directory.Endpoint{ID: id, Service: "model", Address: id, Slots: w.slots, Born: 1})
 	}
 	for i := range w.deployment.fronts {
@@ -303,6 +307,7 @@
 func (w *simulation) stepEngines(now time.Duration) {
 	for i := range w.deployment.engines {
 		e := w.engines[fmt.Sprint("e", i)]
+		w.crashOverfull(now, e)
 		for e.nextStepAt <= now {
 			events, ended := e.step(max(e.nextStepAt, now-simTick))
 			for _, r := range events {
@@ -418,6 +423,11 @@
 			continue
 		}
 		report, groupNames := sender.s.Report(now), sender.s.Group()
+		if w.unsized && i%2 == 1 {
+			for id, l := range report.Loads {
+				report.Loads[id] = scheduler.Load{Running: l.Running, PromptTokens: l.PromptTokens}
+			}
+		}
 		for j, to := range w.fronts {
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
@@ -440,9 +450,9 @@
 
 func newSchedulerPolicy(d deployment, i int, rows []directory.Endpoint) policy {
 	s := scheduler.New(scheduler.Config{
-		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin, StatedLoad: d.statedLoad,
+		ReportTTL: scheduler.DefaultReportTTL, RefuseMargin: scheduler.DefaultRefuseMargin, StatedLoad: d.statedLoad, EngineMemory: d.engineMemory,
 	}, rand.New(rand.NewSource(d.seed*1000+int64(i))))
-	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens}})
+	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens, MemoryTokens: d.memory}})
 	s.SetEndpoints(rows)
 	var others []string
 	for j := range d.fronts {
@@ -457,7 +467,7 @@
 func (o *adapter) enqueue(now time.Duration, c *simCall) {
 	o.s.Enqueue(scheduler.Request{
 		ID: c.id, Service: "model", Priority: c.kind.priority, Stream: true,
-		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, GapTarget: 400 * ms,
+		PromptTokens: c.prompt, OutputTokens: c.hint, MaxOutputTokens: c.kind.maxOutput, Arrived: now, GapTarget: 400 * ms,
 		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline,
 	})
 }
--- a/coord/scheduler/statement.go
+++ b/coord/scheduler/statement.go
@@ -90,7 +90,11 @@
 
 // believedRunning returns how many requests an endpoint is believed to hold, where statements are used.
 func (s *Scheduler) believedRunning(now time.Duration, e *endpoint) int {
-	reported := s.peers.loads[e.ID].Running
+	return s.believedBeside(now, e, s.peers.loads[e.ID].Running)
+}
+
+// believedBeside returns the same, given how many requests the other entries report.
+func (s *Scheduler) believedBeside(now time.Duration, e *endpoint, reported int) int {
 	return len(e.runs) + e.stated.Others(now, reported, s.slotsOf(e), s.peers.meanAge(now), len(s.peers.reports) > 0)
 }
 
--- a/coord/scheduler/status.go
+++ b/coord/scheduler/status.go
@@ -23,6 +23,12 @@
 	// takes longer than the learned times above say.
 	Believed int     `json:"believed,omitempty"`
 	Slowdown float64 `json:"slowdown,omitempty"`
+	// MemoryTokens is the endpoint's memory, MemoryHeld what this entry's requests there need and
+	// PeersMemory what others report, and MemoryReserved what is kept free for requests that wait.
+	MemoryTokens   int `json:"memory_tokens,omitempty"`
+	MemoryHeld     int `json:"memory_held,omitempty"`
+	PeersMemory    int `json:"peers_memory,omitempty"`
+	MemoryReserved int `json:"memory_reserved,omitempty"`
 }
 
 // Status returns the state of all endpoints, sorted by ID.
@@ -38,6 +44,9 @@
 			status.Stated, status.StatedAgeMS = &stated, (now - at).Milliseconds()
 			status.Believed, status.Slowdown = s.believedRunning(now, e), e.stated.Factor(now)
 		}
+		if s.memoryMatters(e.Service) {
+			s.addMemory(&status, e)
+		}
 		list = append(list, status)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Endpoint < list[j].Endpoint })
--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -180,8 +180,12 @@
 
 // refuseByScheduler answers a request that the scheduler refused.
 func (d *delivery) refuseByScheduler(r *scheduler.Refusal) outcome {
+	if r.Reason == scheduler.ReasonEngineMemory {
+		d.front.metrics.memoryRefusals.Add(d.front.baseContext, 1)
+	}
 	d.front.log.Info().Str("request_id", d.call.ID).Str("reason", string(r.Reason)).Str("service", d.service).
 		Int64("waited_ms", r.Waited.Milliseconds()).Int("queued", r.Queued).Int("runs", d.runs).
+		Int("memory_need", r.MemoryNeed).Int("memory_tokens", r.MemoryTokens).
 		Int64("retry_after_ms", r.RetryAfter.Milliseconds()).Msg("request_refused")
 	if d.runs > 0 {
 		return d.giveUp("no further endpoint")
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -79,6 +79,7 @@
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
 		Int64("stated_age_ms", p.StatedAge.Milliseconds()).Float64("slowdown", p.Slowdown).
+		Int("memory_need", p.MemoryNeed).Int("memory_free", p.MemoryFree).Int64("memory_waited_ms", p.MemoryWaited.Milliseconds()).Bool("memory_reserved", p.MemoryReserved).
 		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("granted", p.Granted).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
 		Int64("version", d.admission.Version).Msg("request_placed")
 }
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -183,6 +183,9 @@
 		plan = c.scheduler.Plan(now)
 	}
 	for _, p := range plan.Placements {
+		if p.MemoryWaited > 0 {
+			c.front.metrics.memoryWaits.Add(c.front.baseContext, 1)
+		}
 		c.decide(p.Request, decision{placement: &p})
 	}
 	for _, r := range plan.Refusals {
--- a/daemon/front/fuzz_test.go
+++ b/daemon/front/fuzz_test.go
@@ -52,6 +52,7 @@
 	hostile := peer
 	hostile.Sequence = 2
 	hostile.IntervalMS, hostile.Loads, hostile.Demand = math.MaxInt64, map[string][2]int{"a": {-5, math.MaxInt}}, map[string]int{"svc": math.MinInt}
+	hostile.Memory = map[string][2]int{"a": {math.MaxInt, math.MinInt}, "b": {-1, math.MaxInt}}
 	hostile.Usage, hostile.Levels, hostile.ListMS = map[string]float64{"x": math.NaN()}, map[string]float64{"x": math.Inf(-1)}, []int64{math.MinInt64, math.MaxInt64}
 	hostile.Limits = []limitState{{Endpoint: "a", Born: 1, Limited: true, Rate: math.NaN(), AgeMS: math.MinInt64}, {Endpoint: "b", Born: 1, Limited: true, Rate: -3, AgeMS: math.MaxInt64}}
 	hostile.Subjects = []subjectEvidence{
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -28,6 +28,7 @@
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
 	statementsUsed, statementsIgnored        metric.Int64Counter
+	memoryWaits, memoryRefusals              metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -55,6 +56,8 @@
 		bodiesRefused:          i.Counter("primrosespoke_bodies_refused", "{request}", "requests refused since there was no room for their body"),
 		statementsUsed:         i.Counter("primrosespoke_endpoint_statements_used", "{statement}", "statements of endpoints on their load that were used"),
 		statementsIgnored:      i.Counter("primrosespoke_endpoint_statements_ignored", "{statement}", "statements of endpoints on their load that were ignored, by reason"),
+		memoryWaits:            i.Counter("primrosespoke_engine_memory_waits", "{request}", "requests that were placed after they had waited for an engine's memory"),
+		memoryRefusals:         i.Counter("primrosespoke_engine_memory_refusals", "{request}", "requests refused since no engine had memory for them"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
--- a/daemon/front/reports.go
+++ b/daemon/front/reports.go
@@ -53,6 +53,7 @@
 	UptimeMS        int64              `cbor:"17,keyasint,omitempty"` // since the entry's start, in full reports; 0 = unknown
 	Arrivals        map[string]float64 `cbor:"16,keyasint,omitempty"` // requests per second, by plain service
 	Places          bool               `cbor:"18,keyasint,omitempty"` // the entry gives out places of endpoints
+	Memory          map[string][2]int  `cbor:"19,keyasint,omitempty"` // tokens of memory that the requests need and that are reserved, by endpoint ID, where memory counts
 	Listed          *versionSummary    `cbor:"15,keyasint,omitempty"` // versions of endpoints that were listed, in some full reports
 }
 
@@ -100,16 +101,47 @@
 	own := c.scheduler.Report(now)
 	loads := make(map[string][2]int, len(own.Loads))
 	for id, l := range own.Loads {
-		loads[id] = [2]int{l.Running, l.PromptTokens}
+		if l.Running > 0 || l.PromptTokens > 0 {
+			loads[id] = [2]int{l.Running, l.PromptTokens}
+		}
 	}
 	c.reporting.sequence++
 	return report{
 		From: c.front.config.ID, Address: c.front.config.PeerAddress, Incarnation: c.front.incarnation, Sequence: c.reporting.sequence,
-		Loads: loads, Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
+		Loads: loads, Memory: encodeMemory(own.Loads), Demand: own.Demand, Arrivals: own.Arrivals, IntervalMS: c.front.config.Timing.interval(c.members.count()).Milliseconds(),
 		ListMS: encodeAges(c.list, now), ConfigurationMS: encodeAges(c.configurationSource, now), Limits: encodeLimits(c.sendLimits.Report(now, maxReportedLimits)), Places: c.front.config.Places && !c.front.draining.Load(),
 	}
 }
 
+// encodeMemory returns the memory of loads that say it. Entries of earlier versions ignore it.
+func encodeMemory(loads map[string]scheduler.Load) map[string][2]int {
+	var encoded map[string][2]int
+	for id, l := range loads {
+		if l.MemoryTokens == 0 && l.ReservedTokens == 0 {
+			continue
+		}
+		if encoded == nil {
+			encoded = map[string][2]int{}
+		}
+		encoded[id] = [2]int{l.MemoryTokens, l.ReservedTokens}
+	}
+	return encoded
+}
+
+// decodeLoads returns the loads of a report. Of an entry of an earlier version the memory is unknown.
+func (r *report) decodeLoads() map[string]scheduler.Load {
+	loads := make(map[string]scheduler.Load, len(r.Loads))
+	for id, l := range r.Loads {
+		loads[id] = scheduler.Load{Running: l[0], PromptTokens: l[1]}
+	}
+	for id, m := range r.Memory {
+		l := loads[id]
+		l.MemoryTokens, l.ReservedTokens = m[0], m[1]
+		loads[id] = l
+	}
+	return loads
+}
+
 // encodeAges returns the age of what a monitor follows, and how long it was read steadily;
 // empty = never read.
 func encodeAges(m *staleness.Monitor, now time.Duration) []int64 {
@@ -210,8 +242,10 @@
 		maps.DeleteFunc(amounts, func(_ string, amount float64) bool { return !isFinite(amount) })
 	}
 	maps.DeleteFunc(r.Arrivals, func(_ string, rate float64) bool { return !(rate > 0 && rate <= maxReportedRate) })
-	for id, l := range r.Loads {
-		r.Loads[id] = [2]int{clampCount(l[0]), clampCount(l[1])}
+	for _, pairs := range []map[string][2]int{r.Loads, r.Memory} {
+		for id, l := range pairs {
+			pairs[id] = [2]int{clampCount(l[0]), clampCount(l[1])}
+		}
 	}
 	for service, n := range r.Demand {
 		r.Demand[service] = clampCount(n)
@@ -264,10 +298,7 @@
 	if !c.members.acceptSequence(r.From, r.Incarnation, r.Sequence) {
 		return
 	}
-	loads := make(map[string]scheduler.Load, len(r.Loads))
-	for id, l := range r.Loads {
-		loads[id] = scheduler.Load{Running: l[0], PromptTokens: l[1]}
-	}
+	loads := r.decodeLoads()
 	if len(r.Limits) > 0 {
 		c.mergeLimits(now, r.From, r.Limits)
 	}
