--- a/coord/scheduler/domains.go
+++ b/coord/scheduler/domains.go
@@ -336,7 +336,7 @@
 		return c.home && !r.Avoid[c.endpoint.ID] && r.mayRunAt(c.endpoint)
 	})
 	if !possible { // by its software version, or since it was sent to all of them before
-		return s.cheapest(now, r, s.comparable(p, suitable), nil)
+		return s.cheapest(now, r, p, s.comparable(p, suitable), nil)
 	}
 	var best *candidate
 	lowest := math.Inf(1)
@@ -344,17 +344,17 @@
 		if d.decision.Leaving > 0 && s.rng.Float64() < d.decision.Share() {
 			// An entry has a few short runs at a time, and the queues of plain endpoints hide that a
 			// domain is full. So the part that leaves is drawn, and not counted as runs.
-			if c, cost := s.cheapestOutside(now, r, suitable, s.drawDomain(d.decision)); c != nil {
+			if c, cost := s.cheapestOutside(now, r, p, suitable, s.drawDomain(d.decision)); c != nil {
 				return c, cost
 			}
 		}
 		home := slices.DeleteFunc(slices.Clone(suitable), func(c *candidate) bool { return !c.home })
-		best, lowest = s.cheapest(now, r, s.comparable(p, home), nil)
+		best, lowest = s.cheapest(now, r, p, s.comparable(p, home), nil)
 	} else {
 		if d.running < d.limit || r.StreamStarted {
-			best, lowest = s.cheapest(now, r, suitable, isHomeCandidate)
+			best, lowest = s.cheapest(now, r, p, suitable, isHomeCandidate)
 		}
-		if c, cost := s.cheapestOutside(now, r, suitable, d.quota); c != nil && (best == nil || cost < lowest) {
+		if c, cost := s.cheapestOutside(now, r, p, suitable, d.quota); c != nil && (best == nil || cost < lowest) {
 			return c, cost
 		}
 	}
@@ -362,9 +362,9 @@
 	case best != nil:
 		return best, lowest
 	case r.StreamStarted:
-		return s.cheapest(now, r, suitable, nil)
+		return s.cheapest(now, r, p, suitable, nil)
 	case r.prospect.latestStart-now < max(urgentSlack, d.decision.Wait) || !slices.ContainsFunc(suitable, isHomeCandidate):
-		return s.cheapestOutside(now, r, suitable, d.spare)
+		return s.cheapestOutside(now, r, p, suitable, d.spare)
 	}
 	return nil, 0
 }
@@ -373,11 +373,11 @@
 
 // cheapest returns the available candidate with the lowest expected cost, of those that may be taken;
 // nil = all.
-func (s *Scheduler) cheapest(now time.Duration, r *Request, candidates []*candidate, may func(*candidate) bool) (*candidate, float64) {
+func (s *Scheduler) cheapest(now time.Duration, r *Request, p *pool, candidates []*candidate, may func(*candidate) bool) (*candidate, float64) {
 	var best *candidate
 	lowest := math.Inf(1)
 	for _, c := range candidates {
-		if (may == nil || may(c)) && c.available(s.cfg.Overcommit) {
+		if (may == nil || may(c)) && c.available(s.cfg.Overcommit) && s.hasMemory(now, r, c, p) {
 			if cost := s.cost(now, r, c); cost < lowest {
 				best, lowest = c, cost
 			}
@@ -388,13 +388,13 @@
 
 // cheapestOutside returns the cheaper one of two available candidates that are drawn from the domains
 // that may get further runs.
-func (s *Scheduler) cheapestOutside(now time.Duration, r *Request, candidates []*candidate, quota map[string]int) (*candidate, float64) {
+func (s *Scheduler) cheapestOutside(now time.Duration, r *Request, p *pool, candidates []*candidate, quota map[string]int) (*candidate, float64) {
 	if !hasQuota(quota) {
 		return nil, 0
 	}
 	var open []*candidate
 	for _, c := range candidates {
-		if !c.home && c.available(s.cfg.Overcommit) && quota[c.endpoint.FailureDomain] > 0 {
+		if !c.home && c.available(s.cfg.Overcommit) && s.hasMemory(now, r, c, p) && quota[c.endpoint.FailureDomain] > 0 {
 			open = append(open, c)
 		}
 	}
@@ -405,7 +405,7 @@
 		j := i + s.rng.Intn(len(open)-i)
 		open[i], open[j] = open[j], open[i]
 	}
-	return s.cheapest(now, r, open[:min(outsideDraws, len(open))], nil)
+	return s.cheapest(now, r, p, open[:min(outsideDraws, len(open))], nil)
 }
 
 func hasQuota(quota map[string]int) bool {
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -72,6 +72,7 @@
 	// offeredAt and offeredWork are when that was, and its slot-seconds.
 	offeredAt   time.Duration
 	offeredWork float64
+	memory      memoryState
 }
 
 // mayRunAt reports whether an endpoint has a software version that may run the request.
@@ -114,6 +115,12 @@
 	Share float64
 	// Outside is set if the endpoint is in another failure domain than this entry.
 	Outside bool
+	// MemoryNeed is what the request may need of an engine's memory and MemoryFree what was free there, in
+	// tokens, where memory counts. MemoryWaited is for how long the request lacked memory.
+	MemoryNeed, MemoryFree int
+	MemoryWaited           time.Duration
+	// MemoryReserved is set if memory was reserved there for it.
+	MemoryReserved bool
 	// Granted is set if the home of the endpoint gave a place for it.
 	Granted bool
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
@@ -141,6 +148,8 @@
 	ReasonNoEndpoint Reason = "no_endpoint"
 	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests.
 	ReasonNoVersion Reason = "no_endpoint_of_version"
+	// ReasonEngineMemory: the request fits into the memory of no engine, or of none in time.
+	ReasonEngineMemory Reason = "engine_memory"
 )
 
 // Refusal is the decision to turn away a request that was not sent to an endpoint.
@@ -152,6 +161,9 @@
 	Waited     time.Duration
 	// Queued is how many requests waited for the service.
 	Queued int
+	// MemoryNeed is what the request may need of an engine's memory, and MemoryTokens what an engine has,
+	// if it was refused for lack of memory.
+	MemoryNeed, MemoryTokens int
 }
 
 // Plan holds the decisions to carry out now.
--- a/coord/scheduler/simulation_test.go
+++ b/coord/scheduler/simulation_test.go
@@ -90,6 +90,7 @@
 	byKind                       map[string][3]int // sent, on time, served
 	tokens, wastedTokens         int               // that engines worked on, and those of answers that were cut
 	calls                        []*simCall
+	crashes                      int // of engines whose memory was exceeded
 	placed, placedAtFull         int
 	placedAt                     map[string]int // by engine
 	idle, idleSamples            int            // places while requests are refused, and all at that time
@@ -164,6 +165,9 @@
 	states              func(w *simulation, e *simEngine) scheduler.Statement // nil = engines state nothing
 	statedLoad          scheduler.Mode
 	domains             *domainLoad // nil = one failure domain
+	memory              int         // tokens of each engine; 0 = any number
+	engineMemory        scheduler.Mode
+	unsized             bool // fronts with an odd number report no memory
 }
 
 var (
@@ -196,7 +200,7 @@
 	var rows []directory.Endpoint
 	for i := range w.deployment.engines {
 		id := fmt.Sprint("e", i)
-		w.engines[id] = &simEngine{id: id, slots: w.slots, slowdown: []float64{0.55, 1, 2.8}[i%3]}
+		w.engines[id] = &simEngine{id: id, slots: w.slots, memory: w.memory, slowdown: []float64{0.55, 1, 2.8}[i%3]}
 		rows = append(rows, directory.Endpoint{ID: id, Service: "model", Address: id, Slots: w.slots, Born: 1})
 	}
 	for i := range w.deployment.fronts {
@@ -306,6 +310,7 @@
 func (w *simulation) stepEngines(now time.Duration) {
 	for i := range w.deployment.engines {
 		e := w.engines[fmt.Sprint("e", i)]
+		w.crashOverfull(now, e)
 		for e.nextStepAt <= now {
 			events, ended := e.step(max(e.nextStepAt, now-simTick))
 			for _, r := range events {
@@ -430,6 +435,11 @@
 		if !group {
 			report.Work = sender.reporter().Work(now)
 		}
+		if w.unsized && i%2 == 1 {
+			for id, l := range report.Loads {
+				report.Loads[id] = scheduler.Load{Running: l.Running, PromptTokens: l.PromptTokens}
+			}
+		}
 		for j, to := range w.fronts {
 			if other, ok := to.(interface {
 				peer(time.Duration, string, scheduler.Report)
@@ -451,14 +461,14 @@
 }
 
 func newSchedulerPolicy(d deployment, i int, rows []directory.Endpoint) policy {
-	return newSchedulerPolicyWith(d, i, rows, scheduler.Config{StatedLoad: d.statedLoad})
+	return newSchedulerPolicyWith(d, i, rows, scheduler.Config{StatedLoad: d.statedLoad, EngineMemory: d.engineMemory})
 }
 
 // newSchedulerPolicyWith is newSchedulerPolicy with other settings than the defaults.
 func newSchedulerPolicyWith(d deployment, i int, rows []directory.Endpoint, cfg scheduler.Config) *adapter {
 	cfg.ReportTTL, cfg.RefuseMargin = scheduler.DefaultReportTTL, scheduler.DefaultRefuseMargin
 	s := scheduler.New(cfg, rand.New(rand.NewSource(d.seed*1000+int64(i))))
-	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens}})
+	s.SetServices(map[string]scheduler.ServiceInfo{"model": {Slots: d.slots, Engine: true, EventTokens: simEventTokens, MemoryTokens: d.memory}})
 	s.SetEndpoints(rows)
 	var others []string
 	for j := range d.fronts {
@@ -478,7 +488,7 @@
 func callRequest(now time.Duration, c *simCall) scheduler.Request {
 	return scheduler.Request{
 		ID: c.id, Service: "model", Priority: c.kind.priority, Stream: true,
-		PromptTokens: c.prompt, OutputTokens: c.hint, Arrived: now, GapTarget: 400 * ms,
+		PromptTokens: c.prompt, OutputTokens: c.hint, MaxOutputTokens: c.kind.maxOutput, Arrived: now, GapTarget: 400 * ms,
 		NextByteDeadline: min(now+simNextByteTimeout, c.firstSentAt+c.kind.deadline), Deadline: c.firstSentAt + c.kind.deadline,
 	}
 }
--- a/daemon/front/domains.go
+++ b/daemon/front/domains.go
@@ -67,17 +67,23 @@
 	for _, domain := range domains {
 		if names := inPart[domain]; len(names) > 0 {
 			part := r
-			part.LoadsInPart, part.Loads = true, map[string][2]int{}
-			for id, load := range r.Loads {
-				if e, ok := c.usable[id]; !ok || e.FailureDomain == domain {
-					part.Loads[id] = load
-				}
-			}
+			part.LoadsInPart, part.Loads, part.Memory = true, c.atDomain(r.Loads, domain), c.atDomain(r.Memory, domain)
 			c.report(part, names)
 		}
 	}
 }
 
+// atDomain returns the loads at the endpoints of a failure domain and at endpoints that are not usable.
+func (c *control) atDomain(loads map[string][2]int, domain string) map[string][2]int {
+	part := map[string][2]int{}
+	for id, load := range loads {
+		if e, ok := c.usable[id]; !ok || e.FailureDomain == domain {
+			part[id] = load
+		}
+	}
+	return part
+}
+
 // outsideLoadsDue reports whether the full report that was last made carries all loads to a domain. The
 // domains get them in turns.
 func (c *control) outsideLoadsDue(domain int) bool {
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -31,6 +31,7 @@
 	connectionsCut, transfersEnded           metric.Int64Counter
 	rolloutPhases, rolloutAnswers            metric.Int64Counter
 	domainPlacements, reportBytes            metric.Int64Counter
+	memoryWaits, memoryRefusals              metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -64,6 +65,8 @@
 		rolloutPhases:          i.Counter("primrosespoke_rollout_phases", "{change}", "changes of the phase of a roll-out, by service and the new phase"),
 		rolloutAnswers:         i.Counter("primrosespoke_rollout_answers", "{answer}", "answers by which a version that is rolled out was judged, by service, version and result"),
 		reportBytes:            i.Counter("primrosespoke_report_bytes", "By", "bytes of reports sent to fronts inside and outside the front's failure domain"),
+		memoryWaits:            i.Counter("primrosespoke_engine_memory_waits", "{request}", "requests that were placed after they had waited for an engine's memory"),
+		memoryRefusals:         i.Counter("primrosespoke_engine_memory_refusals", "{request}", "requests refused since no engine had memory for them"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
