--- a/coord/fairshare/fairshare.go
+++ b/coord/fairshare/fairshare.go
@@ -221,7 +221,7 @@
 		sum += work
 	}
 	left := (l.started.current(now) + float64(peers.Started)*Unit) * (1 + Queue.Seconds()/Memory.Seconds())
-	if sum <= left {
+	if sum <= left || len(offered) == 1 { // one account has nobody to share with
 		return math.Inf(1)
 	}
 	for i, work := range offered {
@@ -344,11 +344,16 @@
 	names := largestFirst(sums)
 	list := make([]Status, 0, min(len(names), most))
 	for _, name := range names[:min(len(names), most)] {
-		status := Status{Account: name, PeersOffered: float64(peers.Offered[name]) * Unit, ServedShare: 1}
-		if a := l.accounts[name]; a != nil {
-			status.Offered, status.Started, status.ServedShare = a.offered.current(now), a.started.current(now), a.servedShare
-		}
-		list = append(list, status)
+		list = append(list, l.Status(now, name, peers))
 	}
 	return list
 }
+
+// Status returns the state of one account.
+func (l *Ledger) Status(now time.Duration, name string, peers Work) Status {
+	status := Status{Account: name, PeersOffered: float64(peers.Offered[name]) * Unit, ServedShare: 1}
+	if a := l.accounts[name]; a != nil {
+		status.Offered, status.Started, status.ServedShare = a.offered.current(now), a.started.current(now), a.servedShare
+	}
+	return status
+}
--- a/coord/scheduler/order.go
+++ b/coord/scheduler/order.go
@@ -206,6 +206,10 @@
 // maxComparedPriority is the priority from which on those of two entries' requests count as equal.
 const maxComparedPriority = 31
 
+// beyondShareLeft is the time, in seconds, by which a request beyond its account's share is compared as if
+// it could wait longer. It exceeds callers' deadlines.
+const beyondShareLeft = 3600
+
 // urgency returns a positive number by which waiting requests of several entries are compared, whose
 // clocks differ. Higher goes first: by rank, then by the time left until the latest start.
 func (s *Scheduler) urgency(now time.Duration, r *Request, p *pool) float64 {
@@ -220,6 +224,9 @@
 	if s.isStarving(r) {
 		return ranks + 1 + 1/(1+left)
 	}
+	if r.prospect.class > 0 {
+		left += beyondShareLeft // after all others of the rank
+	}
 	rank := float64(clampPriority(r.AccountPriority)*(maxComparedPriority+1) + clampPriority(r.Priority))
 	return ranks - rank + 1/(1+left)
 }
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -15,6 +15,7 @@
 		s.planService(now, service, &plan)
 	}
 	plan.Failovers = s.silentRuns(now)
+	plan.Cuts = s.cuts(now)
 	return plan
 }
 
@@ -335,7 +336,7 @@
 		Request: r.ID, Endpoint: c.endpoint.ID, Address: c.endpoint.Address, Born: c.endpoint.Born, Version: c.endpoint.Version, Waited: now - r.Arrived,
 		Running: c.running, Slots: c.slots, Score: cost, ReportAge: p.reportAge,
 		PendingPromptTokens: c.pendingPromptTokens, EventInterval: time.Duration(c.eventInterval * float64(time.Second)), PromptRate: c.promptRate,
-		ExpectedFirstEvent: time.Duration(c.firstEvent(r) * float64(time.Second)),
+		ExpectedFirstEvent: time.Duration(c.firstEvent(r) * float64(time.Second)), BeyondShare: r.prospect.class > 0,
 	}
 	if p.pacer != nil && p.pacer.share < float64(p.slots) {
 		placement.Share = p.pacer.share
--- a/coord/scheduler/refusal.go
+++ b/coord/scheduler/refusal.go
@@ -103,7 +103,7 @@
 	latest := s.latestReturn(now, r, p)
 	return Refusal{
 		Request: r.ID, Reason: reason, RetryAfter: min(after, max(latest, minRetryAfter), maxRetryAfter),
-		Waited: now - r.Arrived, Queued: queued,
+		Waited: now - r.Arrived, Queued: queued, BeyondShare: r.prospect.class > 0,
 	}
 }
 
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -107,6 +107,8 @@
 	Share float64
 	// Granted is set if the home of the endpoint gave a place for it.
 	Granted bool
+	// BeyondShare is set if the account asked for more than its share.
+	BeyondShare bool
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
 	SendBefore time.Duration
 }
@@ -143,6 +145,8 @@
 	Waited     time.Duration
 	// Queued is how many requests waited for the service.
 	Queued int
+	// BeyondShare is set if the account asked for more than its share.
+	BeyondShare bool
 }
 
 // Plan holds the decisions to carry out now.
@@ -152,4 +156,6 @@
 	// Failovers are running requests to be cancelled and sent to another endpoint,
 	// because theirs has stopped responding.
 	Failovers []uint64
+	// Cuts are accounts that began or ceased to ask for more than their shares.
+	Cuts []Cut
 }
--- a/coord/scheduler/sharing.go
+++ b/coord/scheduler/sharing.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"primrosespoke.dev/coord/fairshare"
@@ -19,7 +21,67 @@
 // sharing is the state of one service.
 type sharing struct {
 	ledger *fairshare.Ledger
-	level  float64 // of the last plan, in slot-seconds; infinite = nothing was cut
+	level  float64                  // of the last plan, in slot-seconds; infinite = nothing was cut
+	cut    map[string]time.Duration // accounts that ask for more than their shares, and when they last did
+	began  []string                 // accounts that were added to cut in this plan
+}
+
+// cutEndDelay is for how long an account must not have asked for more than its share to count as back
+// within it. It bounds the log lines about accounts near their shares.
+const cutEndDelay = 2 * time.Second
+
+// Cut tells that an account began, or ceased, to ask for more than its share.
+type Cut struct {
+	Service, Account string
+	Began            bool
+	// Level is the work up to which each account is served, in slot-seconds; 0 = unknown.
+	Level float64
+	// Offered and Started are the account's recent work through this entry, PeersOffered that through
+	// the others, in slot-seconds.
+	Offered, Started, PeersOffered float64
+	// ReportAge is the age of the oldest report of another entry that was used.
+	ReportAge time.Duration
+}
+
+// cuts returns the accounts that began or ceased to ask for more than their shares.
+func (s *Scheduler) cuts(now time.Duration) []Cut {
+	var cuts []Cut
+	for _, service := range slices.Sorted(maps.Keys(s.sharings)) {
+		state := s.sharings[service]
+		var ended []string
+		for account, last := range state.cut {
+			if now > last+cutEndDelay {
+				ended = append(ended, account)
+				delete(state.cut, account)
+			}
+		}
+		slices.Sort(ended)
+		peers := s.peers.accountWork(service)
+		for i, account := range append(state.began, ended...) {
+			c := Cut{Service: service, Account: account, Began: i < len(state.began), ReportAge: s.peers.oldestAge(now)}
+			if !math.IsInf(state.level, 1) {
+				c.Level = state.level
+			}
+			status := state.ledger.Status(now, account, peers)
+			c.Offered, c.Started, c.PeersOffered = status.Offered, status.Started, status.PeersOffered
+			cuts = append(cuts, c)
+		}
+		state.began = nil
+	}
+	return cuts
+}
+
+// observe records which accounts ask for more than their shares.
+func (state *sharing) observe(now time.Duration, queue []*Request) {
+	for _, r := range queue {
+		if r.prospect.class == 0 {
+			continue
+		}
+		if _, known := state.cut[r.Account]; !known {
+			state.began = append(state.began, r.Account)
+		}
+		state.cut[r.Account] = now
+	}
 }
 
 // sharingOf returns the state of a service where accounts share its slots; nil otherwise.
@@ -30,7 +92,7 @@
 	}
 	state := s.sharings[service]
 	if state == nil {
-		state = &sharing{ledger: fairshare.New(), level: math.Inf(1)}
+		state = &sharing{ledger: fairshare.New(), level: math.Inf(1), cut: map[string]time.Duration{}}
 		s.sharings[service] = state
 	}
 	return state
@@ -62,6 +124,7 @@
 	s.classify(&division, queue)
 	excess := beyondShares(queue)
 	if excess > 0 {
+		state.observe(now, queue)
 		sortByStart(queue)
 	}
 	if p.pacer != nil {
--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -181,7 +181,7 @@
 // refuseByScheduler answers a request that the scheduler refused.
 func (d *delivery) refuseByScheduler(r *scheduler.Refusal) outcome {
 	d.front.log.Info().Str("request_id", d.call.ID).Str("reason", string(r.Reason)).Str("service", d.service).
-		Int64("waited_ms", r.Waited.Milliseconds()).Int("queued", r.Queued).Int("runs", d.runs).
+		Int64("waited_ms", r.Waited.Milliseconds()).Int("queued", r.Queued).Int("runs", d.runs).Bool("beyond_share", r.BeyondShare).Str("account", d.admission.AccountName()).
 		Int64("retry_after_ms", r.RetryAfter.Milliseconds()).Msg("request_refused")
 	if d.runs > 0 {
 		return d.giveUp("no further endpoint")
--- a/daemon/front/attempt.go
+++ b/daemon/front/attempt.go
@@ -78,7 +78,7 @@
 	d.front.log.Info().Str("request_id", d.call.ID).Int("attempt", d.placements).Str("service", d.service).Str("endpoint", p.Endpoint).Str("endpoint_version", p.Version).Float64("share", p.Share).
 		Int64("waited_ms", p.Waited.Milliseconds()).Int("running", p.Running).Int("slots", p.Slots).
 		Int("prompts", p.PendingPromptTokens).Int64("event_ms", p.EventInterval.Milliseconds()).Int64("prompt_rate", int64(p.PromptRate)).Int64("expected_ms", p.ExpectedFirstEvent.Milliseconds()).Float64("score", p.Score).Int64("report_age_ms", p.ReportAge.Milliseconds()).
-		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("granted", p.Granted).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
+		Int64("list_age_ms", d.front.listAge().Milliseconds()).Bool("granted", p.Granted).Bool("beyond_share", p.BeyondShare).Str("account", d.admission.AccountName()).Bool("endpoint_limited", d.front.isLimited(p.Endpoint)).
 		Int64("version", d.admission.Version).Msg("request_placed")
 }
 
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -182,10 +182,17 @@
 	} else {
 		plan = c.scheduler.Plan(now)
 	}
+	c.logCuts(plan.Cuts)
 	for _, p := range plan.Placements {
+		if p.BeyondShare {
+			c.front.metrics.beyondShare("placed")
+		}
 		c.decide(p.Request, decision{placement: &p})
 	}
 	for _, r := range plan.Refusals {
+		if r.BeyondShare {
+			c.front.metrics.beyondShare("refused")
+		}
 		c.decide(r.Request, decision{refusal: &r})
 		c.quarantine.End(r.Request)
 	}
@@ -194,6 +201,16 @@
 	}
 }
 
+// logCuts logs the accounts that began or ceased to ask for more than their shares.
+func (c *control) logCuts(cuts []scheduler.Cut) {
+	for _, cut := range cuts {
+		c.front.log.Info().Str("service", cut.Service).Str("account", cut.Account).Bool("beyond_share", cut.Began).Float64("level_work", cut.Level).
+			Float64("offered", cut.Offered).Float64("started", cut.Started).Float64("peers_offered", cut.PeersOffered).
+			Int64("report_age_ms", cut.ReportAge.Milliseconds()).Msg("account_share_changed")
+		c.front.metrics.accountShareChanged(cut.Began)
+	}
+}
+
 // cancelableAttempt is an attempt that may be cancelled, since its request may be sent
 // again.
 type cancelableAttempt struct {
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -26,6 +26,7 @@
 	waited, firstByte, total                 metric.Float64Histogram
 	deniedAge                                metric.Float64Histogram
 	answersGivenUp, bodiesRefused            metric.Int64Counter
+	requestsBeyondShare, shareChanges        metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -51,6 +52,8 @@
 		silentHomes:            i.Counter("primrosespoke_silent_homes", "{home}", "homes of places that stopped answering"),
 		answersGivenUp:         i.Counter("primrosespoke_answers_given_up", "{answer}", "answers of endpoints that were given up, since they were too long or there was no room for them, by reason"),
 		bodiesRefused:          i.Counter("primrosespoke_bodies_refused", "{request}", "requests refused since there was no room for their body"),
+		requestsBeyondShare:    i.Counter("primrosespoke_requests_beyond_share", "{request}", "requests of accounts that asked for more than their share of a service, by decision"),
+		shareChanges:           i.Counter("primrosespoke_account_share_changes", "{change}", "accounts that began or ceased to ask for more than their share of a service"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -124,6 +127,16 @@
 	m.limitChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("limited", limited)))
 }
 
+// beyondShare counts a decision on a request beyond its account's share.
+func (m *metrics) beyondShare(decision string) {
+	m.requestsBeyondShare.Add(context.Background(), 1, metric.WithAttributes(attribute.String("decision", decision)))
+}
+
+// accountShareChanged counts an account that began or ceased to ask for more than its share.
+func (m *metrics) accountShareChanged(beyond bool) {
+	m.shareChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("beyond_share", beyond)))
+}
+
 // endpointRests counts an endpoint that asked for rest.
 func (m *metrics) endpointRests() {
 	m.rests.Add(context.Background(), 1)
--- a/daemon/front/reports_test.go
+++ b/daemon/front/reports_test.go
@@ -1,10 +1,14 @@
 package front
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"primrosespoke.dev/coord/fairshare"
+	"primrosespoke.dev/coord/scheduler"
 )
 
 // One amount that is no number would spread to the levels of a usage cap, which then admits
@@ -28,3 +32,47 @@
 	_, err = decodeDatagram(encode(directReport{Ask: &permitAsk{Value: math.NaN()}}))
 	g.Expect(err).To(HaveOccurred())
 }
+
+// A peer may report any work of accounts: it is bounded to the largest accounts, and what is no amount
+// is dropped, or one report would decide who is served.
+func TestReportedWorkOfAccountsIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	offered := map[string]int64{"crew": math.MaxInt64, "none": -1}
+	for i := range 100 {
+		offered[fmt.Sprint("account-", i)] = int64(i)
+	}
+	m, err := decodeDatagram(encode(report{
+		From: "front-2", Demand: map[string]int{"model": 3}, Excess: map[string]int{"model": 7, "desk": -1},
+		Work: map[string]accountWork{"model": {Started: -5, Offered: offered}, "desk": {Started: 1, Offered: map[string]int64{"account-1": 1}}},
+	}))
+	g.Expect(err).NotTo(HaveOccurred())
+	r := m.(reportMessage).report
+	g.Expect(r.Excess).To(Equal(map[string]int{"model": 3, "desk": 0}))
+	g.Expect(r.Work["model"].Started).To(BeZero())
+	g.Expect(r.Work["model"].Offered).To(And(HaveLen(scheduler.MaxReportedAccounts), HaveKeyWithValue("crew", int64(fairshare.MaxReported)), HaveKey("account-99"), Not(HaveKey("none"))))
+	g.Expect(r.Work["desk"].Offered).To(BeEmpty(), "the 64 largest of all services")
+}
+
+// A report with the work of accounts must remain a report to entries that do not know the key: its keys
+// are none of those by which a datagram to one entry is told apart.
+func TestAReportWithWorkOfAccountsIsNoDirectReport(t *testing.T) {
+	g := NewWithT(t)
+	m, err := decodeDatagram(encode(report{From: "front-2", Full: true, Work: map[string]accountWork{"model": {Started: 1}}, Excess: map[string]int{"model": 1}}))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(m).To(BeAssignableToTypeOf(reportMessage{}))
+}
+
+// The table of report sizes in docs/CAPACITY.md is this output.
+func TestWorkOfAccountsTakesFewBytes(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{0, 16, 64, 2600} {
+		work := map[string]fairshare.Work{"kano36a": {Started: 123_456, Offered: map[string]int64{}}}
+		for i := range n {
+			work["kano36a"].Offered[fmt.Sprintf("tixa%04d", i)] = int64(1000 + 37*i)
+		}
+		scheduler.LimitAccounts(work)
+		bytes := len(encode(report{Work: encodeWork(work)})) - len(encode(report{}))
+		t.Logf("%d accounts: %d bytes", n, bytes)
+		g.Expect(bytes).To(BeNumerically("<", 1024))
+	}
+}
