--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -123,6 +123,8 @@
 	MemoryReserved bool
 	// Granted is set if the home of the endpoint gave a place for it.
 	Granted bool
+	// BeyondShare is set if the account asked for more than its share.
+	BeyondShare bool
 	// SendBefore is until when the request must be sent, by the endpoint's Gate; 0 = at any time.
 	SendBefore time.Duration
 }
@@ -164,6 +166,8 @@
 	// MemoryNeed is what the request may need of an engine's memory, and MemoryTokens what an engine has,
 	// if it was refused for lack of memory.
 	MemoryNeed, MemoryTokens int
+	// BeyondShare is set if the account asked for more than its share.
+	BeyondShare bool
 }
 
 // Plan holds the decisions to carry out now.
@@ -173,4 +177,6 @@
 	// Failovers are running requests to be cancelled and sent to another endpoint,
 	// because theirs has stopped responding.
 	Failovers []uint64
+	// Cuts are accounts that began or ceased to ask for more than their shares.
+	Cuts []Cut
 }
--- a/daemon/front/answer.go
+++ b/daemon/front/answer.go
@@ -206,7 +206,7 @@
 		d.front.metrics.memoryRefusals.Add(d.front.baseContext, 1)
 	}
 	d.front.log.Info().Str("request_id", d.call.ID).Str("reason", string(r.Reason)).Str("service", d.service).
-		Int64("waited_ms", r.Waited.Milliseconds()).Int("queued", r.Queued).Int("runs", d.runs).
+		Int64("waited_ms", r.Waited.Milliseconds()).Int("queued", r.Queued).Int("runs", d.runs).Bool("beyond_share", r.BeyondShare).Str("account", d.admission.AccountName()).
 		Int("memory_need", r.MemoryNeed).Int("memory_tokens", r.MemoryTokens).
 		Int64("retry_after_ms", r.RetryAfter.Milliseconds()).Msg("request_refused")
 	if d.runs > 0 {
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -32,6 +32,7 @@
 	rolloutPhases, rolloutAnswers            metric.Int64Counter
 	domainPlacements, reportBytes            metric.Int64Counter
 	memoryWaits, memoryRefusals              metric.Int64Counter
+	requestsBeyondShare, shareChanges        metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -67,6 +68,8 @@
 		reportBytes:            i.Counter("primrosespoke_report_bytes", "By", "bytes of reports sent to fronts inside and outside the front's failure domain"),
 		memoryWaits:            i.Counter("primrosespoke_engine_memory_waits", "{request}", "requests that were placed after they had waited for an engine's memory"),
 		memoryRefusals:         i.Counter("primrosespoke_engine_memory_refusals", "{request}", "requests refused since no engine had memory for them"),
+		requestsBeyondShare:    i.Counter("primrosespoke_requests_beyond_share", "{request}", "requests of accounts that asked for more than their share of a service, by decision"),
+		shareChanges:           i.Counter("primrosespoke_account_share_changes", "{change}", "accounts that began or ceased to ask for more than their share of a service"),
 		streamsTakenUp:         i.Counter("primrosespoke_streams_taken_up", "{stream}", "streams that callers took up again, by who knew the software version that began them"),
 		versionChanges:         i.Counter("primrosespoke_stream_version_changes", "{stream}", "streams that went on at another software version within an answer"),
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
@@ -140,6 +143,16 @@
 	m.limitChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("limited", limited)))
 }
 
+// beyondShare counts a decision on a request beyond its account's share.
+func (m *metrics) beyondShare(decision string) {
+	m.requestsBeyondShare.Add(context.Background(), 1, metric.WithAttributes(attribute.String("decision", decision)))
+}
+
+// accountShareChanged counts an account that began or ceased to ask for more than its share.
+func (m *metrics) accountShareChanged(beyond bool) {
+	m.shareChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("beyond_share", beyond)))
+}
+
 // endpointRests counts an endpoint that asked for rest.
 func (m *metrics) endpointRests() {
 	m.rests.Add(context.Background(), 1)
