rollout: without recent answers only the newest ones of the old version count

TestGoodVersionIsCompleted/answers_that_can't_be_repeated_take_long failed in one of three runs: both versions became slower from 5 ms to 1.7 s at the order, and the median over 31 answers of the old version was that of before, so that a good version was rolled back. Now the newest five count.

--- a/coord/rollout/evidence.go
+++ b/coord/rollout/evidence.go
@@ -152,6 +152,8 @@
 	// sampleCount bounds the times of the old version that are kept for a route.
 	sampleCount = 31
 	minSamples  = 3
+	// newestSamples are those that count where fewer than minSamples are recent.
+	newestSamples = 5
 )
 
 // sample is how long the old version took for an answer, relative to the weight of its request.
@@ -199,7 +201,8 @@
 	if recent > 0 {
 		return slowFactor * recent
 	}
-	return staleSlowFactor * cmp.Or(p.median(now, math.MaxInt64/2), p.peers)
+	newest := pace{own: p.own[max(len(p.own)-newestSamples, 0):]} // the load of longer ago may have been another one
+	return staleSlowFactor * cmp.Or(newest.median(now, math.MaxInt64/2), p.peers)
 }
 
 // isSlow reports whether an answer took too long.
