scheduler: a plan in which nothing can be placed costs little with domains and shares

What may be placed is now known from the open endpoints by domain, and classes are computed each 10 ms.

--- a/coord/scheduler/domains.go
+++ b/coord/scheduler/domains.go
@@ -69,10 +69,12 @@
 	quota       map[string]int // runs of this entry that may still start, by other domain
 	spare       map[string]int // the same for requests that could not be started in time otherwise
 	ownDemand   float64
-	demand      float64 // of all entries of the own domain
-	domainRate  float64 // requests per second of the other entries of the own domain
-	entries     int     // of the own domain that are heard, with this one
-	leavingHere float64 // runs of this entry outside, as a part of one where it has less
+	demand      float64        // of all entries of the own domain
+	domainRate  float64        // requests per second of the other entries of the own domain
+	entries     int            // of the own domain that are heard, with this one
+	leavingHere float64        // runs of this entry outside, as a part of one where it has less
+	open        map[string]int // available candidates, by domain
+	home        string         // the own domain
 }
 
 // SetFailureDomains sets the failure domains of the other entries, by name.
@@ -174,7 +176,7 @@
 	if home == 0 {
 		return
 	}
-	d := &domainPool{slots: home, quota: map[string]int{}, spare: map[string]int{}, entries: 1}
+	d := &domainPool{home: s.cfg.FailureDomain, open: map[string]int{}, slots: home, quota: map[string]int{}, spare: map[string]int{}, entries: 1}
 	outside := map[string]int{}
 	for _, e := range list {
 		switch {
@@ -328,6 +330,33 @@
 	return list
 }
 
+// mayPlaceAny reports whether a request may be placed that is not urgent.
+func (d *domainPool) mayPlaceAny() bool {
+	return d.open[d.home] > 0 && d.running < d.limit || d.hasOpen(d.quota)
+}
+
+// mayPlace reports whether an endpoint may be found for a request, without a look at each: in an
+// overload some hundred requests wait, and most plans can place none of them.
+func (d *domainPool) mayPlace(now time.Duration, r *Request) bool {
+	switch {
+	case r.StreamStarted || r.Version != "" || len(r.Avoid) > 0:
+		return true
+	case d.mayPlaceAny():
+		return true
+	}
+	return r.prospect.latestStart-now < max(urgentSlack, d.decision.Wait) && d.hasOpen(d.spare)
+}
+
+// hasOpen reports whether a domain that may get a further run has an available candidate.
+func (d *domainPool) hasOpen(quota map[string]int) bool {
+	for name, n := range quota {
+		if n > 0 && d.open[name] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // chooseByDomain returns the endpoint with the lowest expected cost among those of the own domain
 // and, for the part of the demand that leaves it, of others.
 func (s *Scheduler) chooseByDomain(now time.Duration, r *Request, p *pool, suitable []*candidate) (*candidate, float64) {
--- a/coord/scheduler/plan.go
+++ b/coord/scheduler/plan.go
@@ -150,7 +150,7 @@
 	s.assess(now, queue, p)
 	sortByStart(queue)
 	s.shareOut(now, service, queue, p)
-	mayPlace := p.openCandidates > 0
+	mayPlace := p.openCandidates > 0 && (p.domains == nil || p.pacer != nil || p.domains.mayPlaceAny())
 	if mayPlace {
 		s.takeTurns(queue)
 	}
@@ -258,6 +258,9 @@
 		p.observeBest(c)
 		if c.available(s.cfg.Overcommit) {
 			p.openCandidates++
+			if p.domains != nil {
+				p.domains.open[c.endpoint.FailureDomain]++
+			}
 		}
 	}
 	p.ownLimit = s.ownLimit(service, p)
@@ -347,6 +350,9 @@
 	if p.openCandidates == 0 || !mayStart && !p.homes {
 		return nil, 0
 	}
+	if p.domains != nil && p.pacer == nil && !p.domains.mayPlace(now, r) {
+		return nil, 0
+	}
 	if p.lacksFor(r) {
 		r.noteMemory(now)
 		return nil, 0
@@ -433,6 +439,9 @@
 	}
 	if c.running++; !c.available(s.cfg.Overcommit) {
 		p.openCandidates--
+		if p.domains != nil {
+			p.domains.open[c.endpoint.FailureDomain]--
+		}
 	}
 	c.pendingPromptTokens += r.PromptTokens
 	if p.ownRunning++; p.pacer != nil {
--- a/coord/scheduler/request.go
+++ b/coord/scheduler/request.go
@@ -68,6 +68,7 @@
 
 	prospect prospect // as of the last plan
 	versions Versions // nil = any
+	class    int      // see prospect.class, as of the last classification
 	offered  bool     // counted in the recent work of its account
 	// offeredAt and offeredWork are when that was, and its slot-seconds.
 	offeredAt   time.Duration
--- a/coord/scheduler/sharing.go
+++ b/coord/scheduler/sharing.go
@@ -15,15 +15,21 @@
 // them. They do not raise this entry's share of the slots either: an account that floods through one
 // entry would otherwise draw the slots of the others there.
 
+// classifyInterval is the least time between two classifications of a service's queue, which sort it by
+// account; plans are made for each arrival. A request counts as within its account's share until then,
+// and goes after those that have waited longer.
+const classifyInterval = 10 * time.Millisecond
+
 // MaxReportedAccounts is how many accounts a report carries, over all services.
 const MaxReportedAccounts = 64
 
 // sharing is the state of one service.
 type sharing struct {
-	ledger *fairshare.Ledger
-	level  float64                  // of the last plan, in slot-seconds; infinite = nothing was cut
-	cut    map[string]time.Duration // accounts that ask for more than their shares, and when they last did
-	began  []string                 // accounts that were added to cut in this plan
+	ledger       *fairshare.Ledger
+	classifiedAt time.Duration            // when the classes of the waiting requests were last set; 0 = never
+	level        float64                  // of the last plan, in slot-seconds; infinite = nothing was cut
+	cut          map[string]time.Duration // accounts that ask for more than their shares, and when they last did
+	began        []string                 // accounts that were added to cut in this plan
 }
 
 // cutEndDelay is for how long an account must not have asked for more than its share to count as back
@@ -121,7 +127,13 @@
 		return
 	}
 	state.level = division.Level
-	s.classify(&division, queue)
+	if state.classifiedAt == 0 || now >= state.classifiedAt+classifyInterval {
+		state.classifiedAt = now
+		s.classify(&division, queue)
+	}
+	for _, r := range queue {
+		r.prospect.class = r.class
+	}
 	excess := beyondShares(queue)
 	if excess > 0 {
 		state.observe(now, queue)
@@ -140,6 +152,9 @@
 // classify sets the classes of the requests of a sorted queue. Within an account and rank, they count
 // in the order in which they are started.
 func (s *Scheduler) classify(division *fairshare.Division, queue []*Request) {
+	for _, r := range queue {
+		r.class = 0
+	}
 	for len(queue) > 0 {
 		equal := countEqualRank(queue)
 		limited := map[string][]*Request{}
@@ -153,7 +168,7 @@
 			for _, r := range requests {
 				class := division.Next(account, r.prospect.work)
 				if !r.StreamStarted {
-					r.prospect.class = class
+					r.class = class
 				}
 			}
 		}
