--- a/coord/scheduler/domains.go
+++ b/coord/scheduler/domains.go
@@ -117,6 +117,19 @@
 	return names
 }
 
+// entriesByDomain counts the entries of each failure domain.
+func (s *Scheduler) entriesByDomain() map[string]int {
+	counts := map[string]int{}
+	for _, name := range s.entries {
+		if name == s.self {
+			counts[s.cfg.FailureDomain]++
+			continue
+		}
+		counts[s.domainOf[name]]++
+	}
+	return counts
+}
+
 // assignToDomain marks the endpoints of one service that this entry does not prefer: those of other
 // domains and, in a large domain, those of its other groups.
 func (s *Scheduler) assignToDomain(service string, list []*endpoint) {
--- a/coord/scheduler/memory.go
+++ b/coord/scheduler/memory.go
@@ -21,6 +21,9 @@
 	maxReservationTime = 700 * time.Millisecond
 	// reportAgeDecay is the time constant with which the longest age of a report is forgotten.
 	reportAgeDecay = 2 * time.Second
+	// outsideSenders is how many entries of other failure domains are assumed to send a request to an engine
+	// before they hear of each other, where the own domain is preferred. What leaves a domain is limited there.
+	outsideSenders = 2
 	// maxPeerNeed bounds the memory that another entry may report for each of its requests.
 	maxPeerNeed = 1 << 20
 )
@@ -81,12 +84,20 @@
 func (s *Scheduler) measureMemory(now time.Duration, service string, p *pool) {
 	total, usual := s.services[service].MemoryTokens, s.needsOf(service).Usual()
 	others := max(len(s.peers.reports), len(s.entries)-1)
+	var byDomain map[string]int
+	if p.domains != nil {
+		byDomain = s.entriesByDomain()
+	}
 	p.memory = true
 	s.longestReportAge.observe(now, p.reportAge)
 	p.reservationTime = min(max(reservationWays*s.longestReportAge.age, minReservationTime), maxReservationTime)
 	for _, c := range p.candidates {
 		peer := &c.peers
 		own := len(c.endpoint.runs)
+		mayAlsoSend := others
+		if byDomain != nil {
+			mayAlsoSend = min(others, byDomain[c.endpoint.FailureDomain]+outsideSenders)
+		}
 		held, unconfirmed := c.endpoint.heldMemory(now - p.reservationTime)
 		// What the endpoint or its home counts beyond the reports is there too, and its need is not known.
 		unreported := max(c.running-own-peer.Running, 0)
@@ -94,7 +105,7 @@
 			Total: total, Usual: usual,
 			Held:     held + peer.MemoryTokens + memory.Estimate(peer.unsizedRunning, peer.unsizedPrompts, usual) + unreported*usual,
 			Reserved: peer.ReservedTokens, OthersFirst: peer.reservedFirst,
-			Unconfirmed: unconfirmed, Others: others,
+			Unconfirmed: unconfirmed, Others: mayAlsoSend,
 		}
 	}
 	reserving := 0
