settings, platform: decisions for scarce capacity are on by the platform's terms as well

A deployment whose engines state no pace, but end when their memory is exceeded, had none of them. front.platform_terms carries the names of the terms; auto means on where they include pressure.

--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"primrosespoke.dev/coord/scheduler"
@@ -33,6 +34,9 @@
 	Store         front.Store
 	Wire          front.Wire
 	ReadinessPath string
+	// ScarceMemory reports whether, by the names of the platform's terms, engines end when the requests
+	// that they hold exceed their memory. Decisions for scarce capacity that are set to auto are on then.
+	ScarceMemory func(terms []string) bool
 }
 
 // RunFront runs a front until ctx ends, then drains it. It logs to standard output. started may
@@ -52,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	scarce := platform.ScarceMemory != nil && platform.ScarceMemory(strings.Split(s.Front.PlatformTerms, ","))
 	f, err := front.New(front.Config{
 		ID: s.ID, FailureDomain: s.FailureDomain,
 		CallerAddress: s.Front.Callers, ReadyAddress: s.Front.Readiness,
@@ -67,8 +72,8 @@
 		MaxClientsBytes: memoryPart(s.Front.ClientsMB, s.Front.MemoryMB, clientsPartFraction),
 		MaxConnections:  s.Front.Connections, StallTimeout: s.Front.StallTimeout,
 		Scheduler: scheduler.Config{
-			StatedLoad: mode(s.Front.StatedLoad), EngineMemory: mode(s.Front.EngineMemory),
-			AccountSharing: mode(s.Front.AccountSharing), DomainPreference: mode(s.Front.DomainPreference),
+			StatedLoad: mode(s.Front.StatedLoad, scarce), EngineMemory: mode(s.Front.EngineMemory, scarce),
+			AccountSharing: mode(s.Front.AccountSharing, scarce), DomainPreference: mode(s.Front.DomainPreference, scarce),
 		},
 	})
 	if err != nil {
@@ -90,12 +95,13 @@
 	return int64(fraction * float64(memoryMB<<20))
 }
 
-// mode returns the mode that a checked setting names.
-func mode(setting string) scheduler.Mode {
-	switch setting {
-	case "on":
+// mode returns the mode that a checked setting names. auto is on where capacity is scarce by the
+// platform's terms.
+func mode(setting string, scarce bool) scheduler.Mode {
+	switch {
+	case setting == "on", setting == "auto" && scarce:
 		return scheduler.On
-	case "off":
+	case setting == "off":
 		return scheduler.Off
 	}
 	return scheduler.Auto
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -92,7 +92,8 @@
 	ClientsMB        int64         `yaml:"clients_mb" default:"0" unit:"megabytes" doc:"connections, heads and bodies of up to 16 KiB in memory, at all listeners; 0 = a fifth of memory_mb, or 256 without it" check:"min 0"`
 	Connections      int           `yaml:"connections" default:"0" unit:"connections" doc:"connections of callers open at a time; 0 = half the limit of open files. Beyond it and clients_mb the connection is cut that holds most and moves least" check:"min 0"`
 	StallTimeout     time.Duration `yaml:"stall_timeout" default:"10s" unit:"duration" doc:"longest time without a byte of a body before its request is refused (408)" check:"min 1s"`
-	StatedLoad       string        `yaml:"stated_load" default:"auto" doc:"use what endpoints state of their load and pace; auto: for services of which an endpoint states its pace" check:"one of auto on off"`
+	PlatformTerms    string        `yaml:"platform_terms" doc:"names of the platform's terms that hold for the deployment, separated by commas" check:"optional"`
+	StatedLoad       string        `yaml:"stated_load" default:"auto" doc:"use what endpoints state of their load and pace; auto: for services of which an endpoint states its pace, and for all where platform_terms say that engines end without memory" check:"one of auto on off"`
 	EngineMemory     string        `yaml:"engine_memory" default:"auto" doc:"send no request to an engine whose memory it may not fit into; auto as for stated_load" check:"one of auto on off"`
 	AccountSharing   string        `yaml:"account_sharing" default:"auto" doc:"client accounts of equal rank share scarce slots by work; auto as for stated_load" check:"one of auto on off"`
 	DomainPreference string        `yaml:"domain_preference" default:"auto" doc:"prefer endpoints of the own failure domain, and leave it where waiting costs more; auto as for stated_load" check:"one of auto on off"`
