routing, platform: an empty list of client accounts asks for a key

Callers saw: once a version of the configuration took the last client account away, every request ran, at every front, with the key that was taken away, with one that no version ever held and with none. Usage caps and the account's name to the endpoint were gone as well.

Cause: the protocol asks for a key if the configuration contains the list of accounts. DecodeConfiguration decoded it into a slice, where no list, null and [] are the same, and Table.Admit asked for a key only if the slice held an account.

A version without the list asks for no key, as before. Since a key that was taken away must not run, a request that carries one is refused meanwhile in deployments whose terms name client accounts (front.unknown_keys: auto). This depends on the version and the settings alone, so a front that started later decides alike. Such a version is logged as a warning and counted.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -76,6 +76,25 @@
 	Rate, Burst float64
 }
 
+// AccountList is the list of client accounts in a version of the configuration.
+type AccountList struct {
+	// Present means that the version has the list, even if it holds no account. Requests then
+	// need a key of one of the accounts; without the list they need none.
+	Present  bool
+	Accounts []Account
+}
+
+// KeyPolicy says what a key counts for where a version has no list of client accounts.
+type KeyPolicy int
+
+const (
+	// IgnoreKeys lets a request run whatever key it carries.
+	IgnoreKeys KeyPolicy = iota
+	// RefuseUnknownKeys lets a request run only without a key: every key is unknown, and one that
+	// an earlier version held was taken away.
+	RefuseUnknownKeys
+)
+
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name string
@@ -104,14 +123,14 @@
 type Table struct {
 	Version  int64
 	Limits   Limits
-	accounts []Account
+	accounts AccountList
 	services map[string]Service // by name
 	byHost   map[string][]Route // by host as hostName returns it, the longest prefix first
-	byKey    map[string]int     // index in accounts by key
+	byKey    map[string]int     // index in accounts.Accounts by key
 }
 
 // NewTable indexes the rows of one version.
-func NewTable(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Table {
+func NewTable(version int64, routes []Route, services []Service, accounts AccountList, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, accounts: accounts,
 		services: map[string]Service{}, byHost: map[string][]Route{}, byKey: map[string]int{},
@@ -126,7 +145,7 @@
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
-	for i, a := range accounts {
+	for i, a := range accounts.Accounts {
 		for _, key := range a.Keys {
 			t.byKey[key] = i
 		}
@@ -158,14 +177,19 @@
 // Account returns the account that a key belongs to, or nil.
 func (t *Table) Account(key string) *Account {
 	if i, ok := t.byKey[key]; ok && key != "" {
-		return &t.accounts[i]
+		return &t.accounts.Accounts[i]
 	}
 	return nil
 }
 
 // Accounts lists the client accounts. The slice must not be changed.
 func (t *Table) Accounts() []Account {
-	return t.accounts
+	return t.accounts.Accounts
+}
+
+// AsksForKeys reports whether requests on routes that are not public need a key.
+func (t *Table) AsksForKeys() bool {
+	return t.accounts.Present
 }
 
 // Service returns a service by name.
@@ -248,27 +272,28 @@
 	Allowed Refusal = iota
 	// NoRoute means that no route matches.
 	NoRoute
-	// UnknownKey means that the route needs a key and the request has none or an unknown one.
+	// UnknownKey means that the request has an unknown key, or none where one is needed.
 	UnknownKey
 )
 
 // Admission is what an allowed request was resolved to.
 type Admission struct {
 	Route *Route
-	// Account is nil on a public route without a known key, and where no accounts are
-	// configured.
+	// Account is nil on a public route without a known key, and where the version has no list of
+	// accounts.
 	Account *Account
 	Version int64
 }
 
-// Admit resolves a request by host, path and key.
-func (t *Table) Admit(host, path, key string) (Admission, Refusal) {
+// Admit resolves a request by host, path and key; an empty key means that it carries none. It
+// depends on the version alone, so that every entry decides alike, whichever versions it knew before.
+func (t *Table) Admit(host, path, key string, policy KeyPolicy) (Admission, Refusal) {
 	route := t.Match(host, path)
 	if route == nil {
 		return Admission{}, NoRoute
 	}
 	account := t.Account(key)
-	if account == nil && len(t.accounts) > 0 && !route.Public {
+	if account == nil && !route.Public && (t.accounts.Present || key != "" && policy == RefuseUnknownKeys) {
 		return Admission{}, UnknownKey
 	}
 	return Admission{Route: route, Account: account, Version: t.Version}, Allowed
--- a/coord/routing/table_test.go
+++ b/coord/routing/table_test.go
@@ -18,7 +18,7 @@
 			{Name: "open", Host: "desk.example", Prefix: "/open/", Public: true, Targets: []routing.Target{{Service: "desk", Weight: 1}}},
 		},
 		[]routing.Service{{Name: "desk"}, {Name: "new"}},
-		[]routing.Account{{Name: "crew", Keys: []string{"k1", "k2"}, Priority: &rank}},
+		routing.AccountList{Present: true, Accounts: []routing.Account{{Name: "crew", Keys: []string{"k1", "k2"}, Priority: &rank}}},
 		routing.Limits{})
 }
 
@@ -32,7 +32,7 @@
 
 func TestHostIsTheSameWithAPortOrAFinalDot(t *testing.T) {
 	g := NewWithT(t)
-	tb := routing.NewTable(1, []routing.Route{{Name: "name", Host: "desk.example.", Prefix: "/"}, {Name: "address", Host: "[2001:DB8::1]", Prefix: "/"}}, nil, nil, routing.Limits{})
+	tb := routing.NewTable(1, []routing.Route{{Name: "name", Host: "desk.example.", Prefix: "/"}, {Name: "address", Host: "[2001:DB8::1]", Prefix: "/"}}, nil, routing.AccountList{}, routing.Limits{})
 	for host, name := range map[string]string{
 		"desk.example": "name", "Desk.example.": "name", "desk.example:": "name", "desk.example:80": "name", "desk.example.:80": "name",
 		"[2001:db8::1]": "address", "[2001:db8::1]:80": "address",
@@ -106,12 +106,39 @@
 		{"/kits/1", "", routing.UnknownKey},
 		{"/open/1", "", routing.Allowed},
 	} {
-		_, refusal := tb.Admit("desk.example", c.path, c.key)
+		_, refusal := tb.Admit("desk.example", c.path, c.key, routing.IgnoreKeys)
 		g.Expect(refusal).To(Equal(c.refusal), c.path+" "+c.key)
 	}
-	_, refusal := tb.Admit("other.example", "/kits/1", "k1")
+	_, refusal := tb.Admit("other.example", "/kits/1", "k1", routing.IgnoreKeys)
 	g.Expect(refusal).To(Equal(routing.NoRoute))
-	open := routing.NewTable(1, []routing.Route{{Host: "h", Prefix: "/"}}, nil, nil, routing.Limits{})
-	_, refusal = open.Admit("h", "/x", "")
-	g.Expect(refusal).To(Equal(routing.Allowed), "without accounts no key is needed")
+}
+
+// Guards against a version that takes the last account away and so lets every request run.
+func TestEmptyListOfAccountsIsNotTheSameAsNoList(t *testing.T) {
+	g := NewWithT(t)
+	routes := []routing.Route{{Host: "h", Prefix: "/"}, {Host: "h", Prefix: "/open/", Public: true}}
+	for _, c := range []struct {
+		present   bool
+		policy    routing.KeyPolicy
+		key, path string
+		want      routing.Refusal
+		because   string
+	}{
+		{true, routing.IgnoreKeys, "", "/x", routing.UnknownKey, "a key is needed, and no account has one"},
+		{true, routing.IgnoreKeys, "k1", "/x", routing.UnknownKey, "the key was taken away"},
+		{true, routing.RefuseUnknownKeys, "k1", "/x", routing.UnknownKey, "the key was taken away"},
+		{true, routing.RefuseUnknownKeys, "", "/open/x", routing.Allowed, "a public route needs no key"},
+		{true, routing.RefuseUnknownKeys, "k1", "/open/x", routing.Allowed, "a public route needs no key"},
+		{false, routing.IgnoreKeys, "", "/x", routing.Allowed, "without the list no key is needed"},
+		{false, routing.IgnoreKeys, "k1", "/x", routing.Allowed, "keys are not looked at"},
+		{false, routing.RefuseUnknownKeys, "", "/x", routing.Allowed, "without the list no key is needed"},
+		{false, routing.RefuseUnknownKeys, "k1", "/x", routing.UnknownKey, "the key was taken away"},
+		{false, routing.RefuseUnknownKeys, "k1", "/open/x", routing.Allowed, "a public route needs no key"},
+	} {
+		tb := routing.NewTable(1, routes, nil, routing.AccountList{Present: c.present}, routing.Limits{})
+		admission, refusal := tb.Admit("h", c.path, c.key, c.policy)
+		g.Expect(refusal).To(Equal(c.want), "%+v", c)
+		g.Expect(admission.Account).To(BeNil())
+		g.Expect(tb.AsksForKeys()).To(Equal(c.present))
+	}
 }
--- a/daemon/cmd/primrosespoke/main.go
+++ b/daemon/cmd/primrosespoke/main.go
@@ -75,7 +75,7 @@
 	from := settings.Sources{File: c.Settings, Environ: os.Environ(), Flags: c.Set, Role: settings.RoleFront}
 	return run(from, h, func(ctx context.Context, s *settings.Settings, started process.Started) error {
 		return process.RunFront(ctx, s, process.FrontPlatform{
-			Store: platform.NewStore(s.Front.Store), Wire: platform.Wire{}, ReadinessPath: platform.ReadinessPath, ScarceMemory: platform.ScarceMemory,
+			Store: platform.NewStore(s.Front.Store), Wire: platform.Wire{}, ReadinessPath: platform.ReadinessPath, ScarceMemory: platform.ScarceMemory, ClientAccounts: platform.ClientAccounts,
 		}, started)
 	})
 }
--- a/daemon/front/config.go
+++ b/daemon/front/config.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"primrosespoke.dev/coord/directory"
+	"primrosespoke.dev/coord/routing"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/daemon/peer/backend"
 )
@@ -46,6 +47,8 @@
 	// MaxConfigurationAge is how long keys are trusted after the moment at which the
 	// configuration was last known to be the newest; 0 = without limit.
 	MaxConfigurationAge time.Duration
+	// KeyPolicy says what a key counts for while the configuration lists no client accounts.
+	KeyPolicy routing.KeyPolicy
 	// ApplyWithin is how long after its confirmation a version of the configuration may not yet
 	// be in force here.
 	ApplyWithin time.Duration
--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -155,7 +155,7 @@
 	if state.table == nil {
 		return routing.Admission{}, routing.NoRoute, reasonNoConfiguration
 	}
-	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key)
+	admission, refusal := state.table.Admit(d.request.Host, d.request.URL.Path, d.call.Key, d.front.config.KeyPolicy)
 	allowed := refusal == routing.Allowed
 	if d.front.configurationOutOfDate(state) && !(allowed && state.usedWhenOld()) {
 		return admission, refusal, reasonConfigurationOld
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -502,10 +502,15 @@
 func (c *control) logTable(m tableMessage) {
 	t := m.table
 	c.front.log.Info().Int64("version", t.Version).Int("routes", t.Routes()).
-		Int("accounts", len(t.Accounts())).Int("services", len(t.Services())).
+		Int("accounts", len(t.Accounts())).Bool("asks_for_keys", t.AsksForKeys()).Int("services", len(t.Services())).
 		Bool("relayed", m.proof.source != sourceStore).Int("bytes", m.bytes).Int64("decode_ms", m.decodeTime.Milliseconds()).
 		Int64("proof_age_ms", (c.front.now()-m.proof.asOf).Milliseconds()).
 		Str("proof_source", m.proof.source).Str("proof_kind", m.proof.kind).Int64("proof_next", m.proof.next).Msg("configuration_in_force")
+	if !t.AsksForKeys() {
+		c.front.metrics.keylessConfigurations.Add(c.front.baseContext, 1)
+		c.front.log.Warn().Int64("version", t.Version).Bool("unknown_keys_refused", c.front.config.KeyPolicy == routing.RefuseUnknownKeys).
+			Msg("configuration_asks_for_no_keys")
+	}
 }
 
 // dumpMessage asks for the state dump.
--- a/daemon/front/proof_model_test.go
+++ b/daemon/front/proof_model_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "version")
 	}
-	return routing.NewTable(version, nil, nil, nil, routing.Limits{}), nil
+	return routing.NewTable(version, nil, nil, routing.AccountList{}, routing.Limits{}), nil
 }
 
 // DecodeOrder implements Store: the model's topic holds no orders.
--- a/daemon/process/front.go
+++ b/daemon/process/front.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"primrosespoke.dev/coord/routing"
 	"primrosespoke.dev/coord/scheduler"
 	"primrosespoke.dev/daemon/front"
 	"primrosespoke.dev/daemon/settings"
@@ -37,6 +38,8 @@
 	// ScarceMemory reports whether, by the names of the platform's terms, engines end when the requests
 	// that they hold exceed their memory. Decisions for scarce capacity that are set to auto are on then.
 	ScarceMemory func(terms []string) bool
+	// ClientAccounts reports whether, by the names of the platform's terms, callers have client accounts.
+	ClientAccounts func(terms []string) bool
 }
 
 // RunFront runs a front until ctx ends, then drains it. It logs to standard output. started may
@@ -56,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	scarce := platform.ScarceMemory != nil && platform.ScarceMemory(strings.Split(s.Front.PlatformTerms, ","))
+	terms := strings.Split(s.Front.PlatformTerms, ",")
+	scarce := platform.ScarceMemory != nil && platform.ScarceMemory(terms)
+	accounts := platform.ClientAccounts != nil && platform.ClientAccounts(terms)
 	f, err := front.New(front.Config{
 		ID: s.ID, FailureDomain: s.FailureDomain,
 		CallerAddress: s.Front.Callers, ReadyAddress: s.Front.Readiness,
@@ -64,6 +69,7 @@
 		ReadinessPath: platform.ReadinessPath, Store: platform.Store, Wire: platform.Wire,
 		Log: log, Meter: metrics.Meter, Metrics: metrics.Handler, Seed: time.Now().UnixNano(),
 		MaxConfigurationAge: time.Duration(keyTrustFraction * float64(s.Front.TrustKeysFor)),
+		KeyPolicy:           keyPolicy(s.Front.UnknownKeys, accounts),
 		StopTimeout:         s.Front.StopWithin, RetryRatio: s.Front.RetryRatio, RetryBurst: s.Front.RetryBurst,
 		CapSlack: s.Front.CapSlack, LeaveWithin: s.Front.LeaveWithin, ApplyWithin: s.Front.ApplyWithin,
 		ExposureShare: s.Front.ExposureShare, ExposureSlack: s.Front.ExposureSlack, RollbackWithin: s.Front.RollbackWithin,
@@ -95,6 +101,15 @@
 	return int64(fraction * float64(memoryMB<<20))
 }
 
+// keyPolicy returns the policy that a checked setting names. auto refuses unknown keys where there
+// are client accounts by the platform's terms.
+func keyPolicy(setting string, accounts bool) routing.KeyPolicy {
+	if setting == "refuse" || setting == "auto" && accounts {
+		return routing.RefuseUnknownKeys
+	}
+	return routing.IgnoreKeys
+}
+
 // mode returns the mode that a checked setting names. auto is on where capacity is scarce by the
 // platform's terms.
 func mode(setting string, scarce bool) scheduler.Mode {
