routing: a route whose targets have no weight sends to none of them

Callers saw: a request on a route whose traffic split allows no service, since all weights are 0 or left out, was run by the first service (200).

Cause: Route.Pick returned the first target where the weights add up to nothing, and the last one, also of weight 0, where rounding left a remainder. Route.Allows, which says that neither may run it, is asked before a send only if a newer version came meanwhile.

Change: Pick returns only services that Allows accepts, or none. Then the request is refused with 503, and has not run. A route with one target sends there whatever its weight, as before.

Evidence: TestRouteWithoutAServiceRunsNothing failed before in the two cases with weights of 0 or none, with a front and stand-ins, and TestPickReturnsOnlyWhatTheRouteAllows in its first expectation. Both pass now, the latter also as a property of any weights and draws.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -229,27 +229,27 @@
 }
 
 // Pick selects the service of a request in proportion to the weights of the route's
-// targets; draw is a uniform random number in [0, 1). Without a positive weight it
-// returns the first target's service, and without a target "".
+// targets; draw is a uniform random number in [0, 1). It returns a service that Allows
+// accepts, or "" if there is none.
 func (r *Route) Pick(draw float64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
 	total := 0.0
 	for _, target := range r.Targets {
-		total += target.Weight
+		total += max(target.Weight, 0)
 	}
-	if total <= 0 {
-		if len(r.Targets) > 0 {
-			return r.Targets[0].Service
-		}
-		return ""
-	}
-	remaining := draw * total
+	remaining, picked := draw*total, ""
 	for _, target := range r.Targets {
-		remaining -= target.Weight
-		if remaining < 0 {
-			return target.Service
+		if target.Weight <= 0 {
+			continue
+		}
+		picked = target.Service // also the last one's, if rounding leaves a remainder
+		if remaining -= target.Weight; remaining < 0 {
+			break
 		}
 	}
-	return r.Targets[len(r.Targets)-1].Service
+	return picked
 }
 
 // Allows reports whether the route may send requests to a service: to a target with a
--- a/coord/routing/table_test.go
+++ b/coord/routing/table_test.go
@@ -1,10 +1,14 @@
 package routing_test
 
 import (
+	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"primrosespoke.dev/coord/routing"
 )
@@ -72,6 +76,34 @@
 	g.Expect((&routing.Route{}).Pick(0.5)).To(BeEmpty())
 }
 
+// Guards against a request to a service to which its route sends nothing: one that no weight allows,
+// or the last one where the sum of the weights is rounded.
+func TestPickReturnsOnlyWhatTheRouteAllows(t *testing.T) {
+	g := NewWithT(t)
+	targets := func(weights ...float64) *routing.Route {
+		r := &routing.Route{}
+		for i, w := range weights {
+			r.Targets = append(r.Targets, routing.Target{Service: fmt.Sprint("s", i), Weight: w})
+		}
+		return r
+	}
+	almostOne := math.Nextafter(1, 0)
+	g.Expect(targets(0, 0).Pick(0.5)).To(BeEmpty(), "no weight allows a service")
+	g.Expect(targets(-1, 0).Pick(0)).To(BeEmpty())
+	g.Expect(targets(0).Pick(0.5)).To(Equal("s0"), "the only target")
+	g.Expect(targets(0.01, 0.01, 0.08, 0).Pick(almostOne)).To(Equal("s2"), "the sum is rounded")
+	g.Expect(targets(-3, 1, 1).Pick(almostOne)).To(Equal("s2"), "a negative weight takes nothing from the others")
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.OneOf(rapid.SampledFrom([]float64{0, 0.1, 0.2, 0.7, math.MaxFloat64}), rapid.Float64Range(-1, 100))
+		r := targets(rapid.SliceOfN(weight, 0, 5).Draw(t, "weights")...)
+		draw := rapid.OneOf(rapid.SampledFrom([]float64{0, almostOne}), rapid.Float64Range(0, almostOne)).Draw(t, "draw")
+		allowed := slices.ContainsFunc(r.Targets, func(target routing.Target) bool { return r.Allows(target.Service) })
+		if picked := r.Pick(draw); r.Allows(picked) != allowed {
+			t.Fatalf("picked %q of %+v", picked, r.Targets)
+		}
+	})
+}
+
 func TestOnlyIdempotentAndResumableRoutesAreRepeatable(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect((&routing.Route{Kind: routing.Idempotent}).Repeatable()).To(BeTrue())
