routing: rows without a host, path prefix or name are left out

Callers saw: a route without path-prefix took each path of its host that no other route took, also without a key where it was public. Requests with a key of a client account without a name ran as if without account.

Cause: NewTable indexed each row as it came. An empty prefix begins every path, and an empty account name means "no account" everywhere else.

Change: such routes and accounts are left out, logged as a warning (configuration_row_left_out) and counted. The rest of the version is in force: to refuse it whole would keep keys in force that it takes away.

Evidence: a table of every field of a configuration, left out, null, empty and of another type, with what requests may do then. Nine of its cases, those of the three fields, failed before and pass now. The same for an endpoint's row passed before.

--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -119,10 +119,21 @@
 	IdleTimeout   time.Duration
 }
 
+// LeftOut is a row of a version that is not used, since it lacks what limits it: it would apply
+// to more requests than any row that has it.
+type LeftOut struct {
+	Kind   string // "route" or "account"
+	Index  int    // in its list
+	Name   string
+	Reason string
+}
+
 // Table is one indexed version of the configuration.
 type Table struct {
-	Version  int64
-	Limits   Limits
+	Version int64
+	Limits  Limits
+	// LeftOut lists the rows that are not used, routes first.
+	LeftOut  []LeftOut
 	accounts AccountList
 	services map[string]Service // by name
 	byHost   map[string][]Route // by host as hostName returns it, the longest prefix first
@@ -138,14 +149,22 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
-	for _, r := range routes {
+	for i, r := range routes {
 		host := strings.ToLower(strings.TrimSuffix(r.Host, "."))
+		if reason := r.unlimited(host); reason != "" {
+			t.LeftOut = append(t.LeftOut, LeftOut{Kind: "route", Index: i, Name: r.Name, Reason: reason})
+			continue
+		}
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
 	for i, a := range accounts.Accounts {
+		if a.Name == "" {
+			t.LeftOut = append(t.LeftOut, LeftOut{Kind: "account", Index: i, Reason: "no name"})
+			continue
+		}
 		for _, key := range a.Keys {
 			t.byKey[key] = i
 		}
@@ -153,6 +172,17 @@
 	return t
 }
 
+// unlimited returns why a route would take requests of any host or path; empty = it does not.
+func (r *Route) unlimited(host string) string {
+	switch {
+	case host == "":
+		return "no host"
+	case r.Prefix == "":
+		return "no path prefix"
+	}
+	return ""
+}
+
 // hostName returns the name in a Host header without its port, in lower case and without the final
 // dot of an absolute name.
 func hostName(host string) string {
--- a/daemon/front/control.go
+++ b/daemon/front/control.go
@@ -498,6 +498,9 @@
 	c.retainWorkTimes(t.EachRoute)
 }
 
+// maxLoggedRows bounds the lines about rows of one version.
+const maxLoggedRows = 20
+
 // logTable logs a version that was put into force, and how it came.
 func (c *control) logTable(m tableMessage) {
 	t := m.table
@@ -506,6 +509,14 @@
 		Bool("relayed", m.proof.source != sourceStore).Int("bytes", m.bytes).Int64("decode_ms", m.decodeTime.Milliseconds()).
 		Int64("proof_age_ms", (c.front.now()-m.proof.asOf).Milliseconds()).
 		Str("proof_source", m.proof.source).Str("proof_kind", m.proof.kind).Int64("proof_next", m.proof.next).Msg("configuration_in_force")
+	for i, row := range t.LeftOut {
+		if i == maxLoggedRows {
+			break
+		}
+		c.front.log.Warn().Int64("version", t.Version).Str("kind", row.Kind).Int("index", row.Index).Str("name", row.Name).Str("reason", row.Reason).
+			Int("left_out", len(t.LeftOut)).Msg("configuration_row_left_out")
+	}
+	c.front.metrics.rowsLeftOut.Add(c.front.baseContext, int64(len(t.LeftOut)))
 	if !t.AsksForKeys() {
 		c.front.metrics.keylessConfigurations.Add(c.front.baseContext, 1)
 		c.front.log.Warn().Int64("version", t.Version).Bool("unknown_keys_refused", c.front.config.KeyPolicy == routing.RefuseUnknownKeys).
--- a/daemon/front/metrics.go
+++ b/daemon/front/metrics.go
@@ -21,7 +21,7 @@
 	placesGiven, silentHomes, closures       metric.Int64Counter
 	storeCalls, storeFailures, reportsUnsent metric.Int64Counter
 	unusableConfigurations                   metric.Int64Counter
-	keylessConfigurations                    metric.Int64Counter
+	keylessConfigurations, rowsLeftOut       metric.Int64Counter
 	configurationVerdicts                    metric.Int64Counter
 	versionChanges                           metric.Int64Counter
 	streamsTakenUp                           metric.Int64Counter
@@ -76,6 +76,7 @@
 		configurationVerdicts:  i.Counter("primrosespoke_configuration_verdicts", "{change}", "changes of whether requests are sent by the configuration, by the new verdict"),
 		unusableConfigurations: i.Counter("primrosespoke_unusable_configurations", "{version}", "versions of the configuration that could not be decoded"),
 		keylessConfigurations:  i.Counter("primrosespoke_keyless_configurations", "{version}", "versions of the configuration put into force that list no client accounts, so that requests need no key"),
+		rowsLeftOut:            i.Counter("primrosespoke_configuration_rows_left_out", "{row}", "routes and accounts of versions put into force that are not used, since they lack what limits them"),
 		reportsUnsent:          i.Counter("primrosespoke_reports_unsent", "{report}", "reports to other entries that could not be sent"),
 		waited:                 i.Seconds("primrosespoke_queue_seconds", "time from the arrival of a request to its first send"),
 		firstByte:              i.Seconds("primrosespoke_first_byte_seconds", "time from the arrival of a request to the first byte of its answer"),
