front: a store that holds no configuration does not confirm the known one

Callers saw: after the store came back from a copy made before the first version, requests ran by the version known before for as long as the store held none, with keys that nothing showed to be valid any more. A front that started then answered 503.

Cause: any read of the topic without a newer version was taken for a proof that the known one is the newest, also a whole read, which lists the newest row of each key and so shows that there is no version.

Change: a whole read without a version counts like a version that can't be decoded. What the known one allows goes on while its keys may be trusted; any version that is written later ends it. The warning names the read, and comes also where other rows are left.

Evidence: TestKeysAreNotTrustedForLongerWhileTheStoreHoldsNoConfiguration failed before in both cases (nothing left: the key still ran requests 6 s later, 4 s allowed; another row left: no line) and passes now.

--- a/daemon/front/config_age.go
+++ b/daemon/front/config_age.go
@@ -23,7 +23,8 @@
 	// read is when the topic was last known to be read to its end. It goes on where freshness
 	// does not since table is superseded.
 	read routing.Freshness
-	// superseded is set if the newest version can't be decoded. Table is the one before then.
+	// superseded is set if the newest version can't be decoded, or if the store holds none. Table is
+	// the one before then.
 	superseded bool
 	// storeOut is set if requests may be sent by the configuration whatever its age, since no
 	// entry can read a newer one.
@@ -39,7 +40,7 @@
 }
 
 // versionOffsets are the offsets of the newest version of the configuration that could be decoded,
-// and of the newest one that could not.
+// and of the newest one that could not, or up to which the store held none.
 type versionOffsets struct{ usable, unusable versionOffset }
 
 // versionOffset is the offset of a version, if there is one.
@@ -75,7 +76,7 @@
 	}
 }
 
-// superseded reports whether the newest version could not be decoded.
+// superseded reports whether the newest version could not be decoded, or is no longer in the store.
 func (v *versionOffsets) superseded() bool {
 	return v.usable.before(v.unusable)
 }
--- a/daemon/front/follow.go
+++ b/daemon/front/follow.go
@@ -138,7 +138,6 @@
 			wait = 0
 		}
 		if got.full && len(got.Records) == 0 {
-			f.log.Warn().Msg("configuration_absent")
 			sleep(ctx, f.config.Timing.StoreRetry)
 		}
 		f.takeConfiguration(w, got)
@@ -183,6 +182,11 @@
 			newest = table
 		}
 	}
+	if got.full && !got.Partial() && versions == (versionOffsets{}) {
+		// The store holds no version, so the one that is known here is not shown to be the newest.
+		versions.add(offset{number: got.Next, era: got.Era}, false)
+		f.log.Warn().Str("source", got.source).Int64("next", got.Next).Int64("era", got.Era).Msg("configuration_absent")
+	}
 	if newest == nil {
 		if versions.superseded() {
 			f.send(tableUnusableMessage{versions: versions})
