--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -119,8 +119,8 @@
 	IdleTimeout   time.Duration
 }
 
-// LeftOut is a row of a version that is not used, since it lacks what limits it: it would apply
-// to more requests than any row that has it.
+// LeftOut is a row of a version that is not used, since a field that limits to which requests it
+// applies is empty.
 type LeftOut struct {
 	Kind   string // "route" or "account"
 	Index  int    // in its list
@@ -316,7 +316,8 @@
 }
 
 // Admit resolves a request by host, path and key; an empty key means that it carries none. It
-// depends on the version alone, so that every entry decides alike, whichever versions it knew before.
+// depends on the version and the policy alone, so that every entry decides alike, whichever versions
+// it knew before.
 func (t *Table) Admit(host, path, key string, policy KeyPolicy) (Admission, Refusal) {
 	route := t.Match(host, path)
 	if route == nil {
